--- /dev/null
+++ b/core/attemptid.cpp
@@ -0,0 +1,31 @@
+#include "core/attemptid.h"
+
+#include <charconv>
+
+namespace citronspar
+{
+
+std::string AttemptId::toString() const
+{
+    return std::to_string(incarnation) + "-" + std::to_string(counter);
+}
+
+std::optional<AttemptId> AttemptId::fromString(const std::string &text)
+{
+    const std::size_t dash = text.find('-');
+    if (dash == std::string::npos) {
+        return std::nullopt;
+    }
+    AttemptId id;
+    const char *begin = text.data();
+    const char *end = begin + text.size();
+    const std::from_chars_result first = std::from_chars(begin, begin + dash, id.incarnation);
+    const std::from_chars_result second = std::from_chars(begin + dash + 1, end, id.counter);
+    const bool isWhole = first.ptr == begin + dash && second.ptr == end;
+    if (first.ec != std::errc() || second.ec != std::errc() || !isWhole) {
+        return std::nullopt;
+    }
+    return id;
+}
+
+}
--- /dev/null
+++ b/core/digest.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace citronspar
+{
+
+/** The SHA-256 of @p text (FIPS 180-4) in lower-case hexadecimal digits. */
+std::string sha256Hex(const std::string &text);
+
+}
--- /dev/null
+++ b/core/metrics.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <sstream>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace citronspar
+{
+
+/** What a series of samples comes to; the unit is that of the samples. */
+struct SeriesSummary
+{
+    std::uint64_t count = 0;
+    double mean = 0;
+    double max = 0;
+    double p50 = 0;
+    double p95 = 0;
+    double p99 = 0;
+};
+
+/** Counters and series of one daemon, by name. Memory does not grow with the samples. */
+class Metrics
+{
+private:
+    using Series = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean, boost::accumulators::tag::max,
+                                   boost::accumulators::tag::extended_p_square_quantile>>;
+
+    std::map<std::string, std::uint64_t> m_counters;
+    std::map<std::string, Series> m_series;
+
+public:
+    /** Adds one to the counter @p name. */
+    void count(const std::string &name);
+
+    /** Adds a sample to the series @p name. */
+    void sample(const std::string &name, double value);
+
+    /** Adds @p duration, in milliseconds, to the series @p name. */
+    void sample(const std::string &name, Duration duration);
+
+    const std::map<std::string, std::uint64_t> &counters() const;
+
+    /** The summaries of all series, by name. */
+    std::map<std::string, SeriesSummary> summaries() const;
+};
+
+}
--- /dev/null
+++ b/core/timerservice.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace citronspar
+{
+
+/**
+ * Calls subscribers when their time has come. It reads no clock: the loop, or
+ * a test, tells it the time.
+ */
+class TimerService
+{
+public:
+    using TimerId = std::uint64_t;
+    using Callback = std::function<void(TimePoint now)>;
+
+private:
+    struct Subscription
+    {
+        TimePoint due;
+        Duration period{};
+        Callback callback;
+    };
+
+    std::map<TimerId, Subscription> m_subscriptions;
+    std::map<std::pair<TimePoint, TimerId>, TimerId> m_queue;
+    TimerId m_lastId = 0;
+    TimePoint m_now{};
+
+    TimerId add(TimePoint due, Duration period, Callback callback);
+    void fire(TimerId id, TimePoint now);
+
+public:
+    /** Calls @p callback each @p period, for the first time one period from now. */
+    TimerId subscribe(Duration period, Callback callback);
+
+    /** Calls @p callback once, @p delay from now. */
+    TimerId subscribeOnce(Duration delay, Callback callback);
+
+    /** Ends a subscription. An unknown id is ignored. */
+    void unsubscribe(TimerId id);
+
+    /** Sets the time and calls all subscribers that are due. */
+    void advance(TimePoint now);
+
+    /** The time of the next call; nothing when there is no subscriber. */
+    std::optional<TimePoint> nextDue() const;
+
+    /** The time last passed to advance(). */
+    TimePoint now() const;
+};
+
+}
--- /dev/null
+++ b/drivers/log.cpp
@@ -0,0 +1,34 @@
+#include "drivers/log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <memory>
+
+namespace citronspar
+{
+
+void setUpLogging(LogLayout layout, const std::string &level)
+{
+    log4cxx::LayoutPtr chosen;
+    if (layout == LogLayout::Json) {
+        chosen = std::make_shared<log4cxx::JSONLayout>();
+    } else {
+        chosen = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d %-5p %c: %m%n"));
+    }
+    const log4cxx::AppenderPtr appender = std::make_shared<log4cxx::ConsoleAppender>(chosen, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
+log4cxx::LoggerPtr partLogger(const char *part)
+{
+    return log4cxx::Logger::getLogger(part);
+}
+
+}
--- /dev/null
+++ b/drivers/loop.cpp
@@ -0,0 +1,104 @@
+#include "drivers/loop.h"
+
+#include <charconv>
+#include <ctime>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr Duration longestSleep = std::chrono::seconds(1);
+
+// A connection waits longer than any deadline; the parts have timers of their own.
+constexpr unsigned int libraryTimeoutSeconds = 300;
+
+void ignoreWakeUp(lws_sorted_usec_list_t *)
+{
+}
+
+}
+
+Loop::Loop()
+{
+    lws_set_log_level(LLL_ERR, nullptr);
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.timeout_secs = libraryTimeoutSeconds;
+    m_context.reset(lws_create_context(&info));
+    m_timers.advance(now());
+}
+
+bool Loop::isOpen() const
+{
+    return m_context != nullptr;
+}
+
+void Loop::scheduleWakeUp()
+{
+    const TimePoint current = now();
+    const TimePoint due = m_timers.nextDue().value_or(current + longestSleep);
+    const Duration delay = std::min(std::max(due - current, Duration(1)), longestSleep);
+    lws_sul_schedule(m_context.get(), 0, &m_wakeUp, ignoreWakeUp, delay.count());
+}
+
+void Loop::run()
+{
+    while (!m_isStopped) {
+        m_timers.advance(now());
+        if (m_isStopped) {
+            break;
+        }
+        scheduleWakeUp();
+        if (lws_service(m_context.get(), 0) < 0) {
+            break;
+        }
+    }
+}
+
+void Loop::stop()
+{
+    m_isStopped = true;
+}
+
+lws_context *Loop::context() const
+{
+    return m_context.get();
+}
+
+TimerService &Loop::timers()
+{
+    return m_timers;
+}
+
+TimePoint Loop::now()
+{
+    timespec value{};
+    clock_gettime(CLOCK_BOOTTIME, &value);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
+}
+
+std::chrono::microseconds Loop::wallNow()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+SocketAddress parseSocketAddress(const std::string &text)
+{
+    SocketAddress address;
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return address;
+    }
+    address.host = text.substr(0, colon);
+    const char *end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, address.port);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        address.port = 0;
+    }
+    return address;
+}
+
+}
--- /dev/null
+++ b/drivers/loop.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/time.h"
+#include "core/timerservice.h"
+
+#include <libwebsockets.h>
+
+#include <memory>
+#include <string>
+
+namespace citronspar
+{
+
+/** The one event loop of a process: sockets by libwebsockets, timers by the timer service. */
+class Loop
+{
+private:
+    struct ContextDeleter
+    {
+        void operator()(lws_context *context) const
+        {
+            lws_context_destroy(context);
+        }
+    };
+
+    std::unique_ptr<lws_context, ContextDeleter> m_context;
+    TimerService m_timers;
+    lws_sorted_usec_list_t m_wakeUp{};
+    bool m_isStopped = false;
+
+    void scheduleWakeUp();
+
+public:
+    Loop();
+
+    /** Whether the library could set up its context. */
+    bool isOpen() const;
+
+    /** Runs until stop() is called. */
+    void run();
+
+    /** Lets run() return after the current round. Safe to call from a signal handler. */
+    void stop();
+
+    lws_context *context() const;
+    TimerService &timers();
+
+    /** The time now. */
+    static TimePoint now();
+
+    /** The wall-clock time now, since the epoch. */
+    static std::chrono::microseconds wallNow();
+};
+
+/** "address:port", split. */
+struct SocketAddress
+{
+    std::string host;
+    int port = 0;
+};
+
+/** Splits "address:port". The port is 0 when @p text is not of that form. */
+SocketAddress parseSocketAddress(const std::string &text);
+
+}
--- /dev/null
+++ b/main/callservices.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "drivers/httpserver.h"
+#include "main/configservice.h"
+#include "main/daemoncore.h"
+#include "main/limitservice.h"
+#include "main/peerlinks.h"
+#include "servers/retrybudget.h"
+#include "servers/routingstrategy.h"
+#include "servers/suspectlist.h"
+
+#include <functional>
+
+namespace citronspar
+{
+
+class Call;
+class ProbeService;
+
+/** The services of the entry role that a call works with. */
+struct CallServices
+{
+    DaemonCore &core;
+    PeerLinks &links;
+    ConfigService &config;
+    LimitService &limits;
+    HttpServer &server;
+    ProbeService &probes;
+    RetryBudget &retries;
+    SuspectList &suspects;
+};
+
+}
--- /dev/null
+++ b/main/configservice.cpp
@@ -0,0 +1,231 @@
+#include "main/configservice.h"
+
+#include "drivers/log.h"
+
+#include <set>
+#include <utility>
+
+namespace citronspar
+{
+
+const char *const fleetVersionKey = "fleet/version";
+const char *const fleetDocumentKey = "fleet/document";
+
+namespace
+{
+
+const log4cxx::LoggerPtr logger = partLogger("config");
+
+constexpr Duration pollPeriod = std::chrono::milliseconds(400);
+
+}
+
+ConfigService::ConfigService(DaemonCore &core, PeerLinks &links)
+    : m_core(core)
+    , m_links(links)
+    , m_guard(FreshnessGuard::Settings(), core.settings().daemon, Loop::now())
+    , m_state(std::make_shared<FleetState>())
+{
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
+}
+
+void ConfigService::start()
+{
+    poll(Loop::now());
+    m_core.timers().subscribe(pollPeriod, [this](TimePoint) {
+        poll(Loop::now());
+    });
+}
+
+void ConfigService::onChange(ChangeHandler handler)
+{
+    m_changeHandlers.push_back(std::move(handler));
+    if (m_state->version() > 0) {
+        m_changeHandlers.back()(*m_state);
+    }
+}
+
+void ConfigService::poll(TimePoint now)
+{
+    askTable(now);
+    askRoster(now);
+    if (m_guard.highestHeard() > m_guard.version()) {
+        fetchDocument();
+    }
+}
+
+void ConfigService::askTable(TimePoint now)
+{
+    if (m_isTableReadOpen) {
+        return;
+    }
+    m_isTableReadOpen = true;
+    const FreshnessGuard::QuestionId question = m_guard.ask(now);
+    m_core.table().read(fleetVersionKey, [this, question](const std::optional<TableRow> &row) {
+        m_isTableReadOpen = false;
+        if (!row.has_value() || !row->value.is_object()) {
+            return;
+        }
+        m_guard.tableAnswered(question, row->value.value("version", std::int64_t(0)));
+        if (m_guard.highestHeard() > m_guard.version()) {
+            fetchDocument();
+        }
+    });
+}
+
+std::string ConfigService::addressOf(const std::string &daemon) const
+{
+    const auto found = m_state->daemons().find(daemon);
+    if (found != m_state->daemons().end()) {
+        return found->second;
+    }
+    const Endpoint *endpoint = m_state->findEndpoint(daemon);
+    return endpoint != nullptr ? endpoint->address : std::string();
+}
+
+void ConfigService::askRoster(TimePoint now)
+{
+    wire::FreshnessQuestion question;
+    question.__set_questionId(static_cast<std::int64_t>(m_guard.ask(now)));
+    wire::Body body;
+    body.__set_freshnessQuestion(question);
+    std::set<std::string> addresses;
+    if (m_state->version() == 0) {
+        addresses.insert(m_core.settings().seeds.begin(), m_core.settings().seeds.end());
+    }
+    for (const std::vector<std::string> &members : {m_state->roster().members, m_state->roster().previousMembers}) {
+        for (const std::string &member : members) {
+            addresses.insert(member == m_core.settings().daemon ? std::string() : addressOf(member));
+        }
+    }
+    addresses.erase(std::string());
+    for (const std::string &address : addresses) {
+        m_links.sendTo(address, body);
+    }
+}
+
+void ConfigService::fetchDocument()
+{
+    if (m_isDocumentReadOpen) {
+        return;
+    }
+    m_isDocumentReadOpen = true;
+    m_core.table().read(fleetDocumentKey, [this](const std::optional<TableRow> &row) {
+        m_isDocumentReadOpen = false;
+        if (row.has_value() && row->value.is_object()) {
+            apply(row->value.value("version", std::int64_t(0)), row->value.value("document", nlohmann::json::object()));
+        }
+    });
+}
+
+bool ConfigService::apply(std::int64_t version, const nlohmann::json &document)
+{
+    if (version <= m_state->version()) {
+        return true;
+    }
+    std::shared_ptr<const FleetState> state = m_reader.read(version, document);
+    if (state == nullptr) {
+        LOG4CXX_ERROR(logger, "version " << version << " is not valid: " << m_reader.lastReason());
+        return false;
+    }
+    m_state = std::move(state);
+    m_document = document;
+    m_guard.applied(version, m_state->roster());
+    LOG4CXX_INFO(logger, "applied version " << version);
+    m_core.record("config", "applied version " + std::to_string(version));
+    for (const ChangeHandler &handler : m_changeHandlers) {
+        handler(*m_state);
+    }
+    return true;
+}
+
+void ConfigService::handle(const MessageOrigin &origin, const wire::Body &body)
+{
+    if (body.__isset.freshnessQuestion) {
+        answerFreshness(origin, body.freshnessQuestion);
+    } else if (body.__isset.freshnessAnswer) {
+        const wire::FreshnessAnswer &answer = body.freshnessAnswer;
+        m_guard.memberAnswered(static_cast<FreshnessGuard::QuestionId>(answer.questionId), origin.sender, answer.version, answer.canVouch);
+        if (answer.version > m_guard.version()) {
+            wire::Body fetch;
+            fetch.__set_configFetch(wire::ConfigFetch());
+            m_links.send(origin.link, fetch);
+        }
+    } else if (body.__isset.configFetch) {
+        sendDocument(origin.link);
+    } else if (body.__isset.configPush) {
+        const nlohmann::json document = nlohmann::json::parse(body.configPush.text, nullptr, false);
+        if (document.is_object()) {
+            apply(body.configPush.version, document);
+        }
+    }
+}
+
+void ConfigService::answerFreshness(const MessageOrigin &origin, const wire::FreshnessQuestion &question)
+{
+    wire::FreshnessAnswer answer;
+    answer.__set_questionId(question.questionId);
+    answer.__set_version(m_guard.version());
+    answer.__set_canVouch(m_guard.canVouch());
+    wire::Body body;
+    body.__set_freshnessAnswer(answer);
+    m_links.send(origin.link, body);
+}
+
+void ConfigService::sendDocument(PeerNetwork::LinkId link)
+{
+    if (m_state->version() == 0) {
+        return;
+    }
+    wire::ConfigPush push;
+    push.__set_version(m_state->version());
+    push.__set_text(m_document.dump());
+    wire::Body body;
+    body.__set_configPush(push);
+    m_links.send(link, body);
+}
+
+void ConfigService::pushToRoster()
+{
+    for (const std::string &member : m_state->roster().members) {
+        const std::string address = member == m_core.settings().daemon ? std::string() : addressOf(member);
+        if (!address.empty()) {
+            sendDocument(m_links.linkTo(address));
+        }
+    }
+    askRoster(Loop::now());
+}
+
+const FleetState &ConfigService::state() const
+{
+    return *m_state;
+}
+
+std::shared_ptr<const FleetState> ConfigService::sharedState() const
+{
+    return m_state;
+}
+
+const nlohmann::json &ConfigService::document() const
+{
+    return m_document;
+}
+
+bool ConfigService::isFresh() const
+{
+    return m_guard.isFresh(Loop::now());
+}
+
+bool ConfigService::isAccepted() const
+{
+    return m_guard.isAccepted(Loop::now());
+}
+
+std::vector<std::string> ConfigService::outstandingMembers() const
+{
+    return m_guard.outstandingMembers(Loop::now());
+}
+
+}
--- /dev/null
+++ b/main/configservice.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "main/peerlinks.h"
+#include "servers/fleetstate.h"
+#include "servers/fleetstatereader.h"
+#include "servers/freshnessguard.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace citronspar
+{
+
+/** The rows of the table service that hold the configuration. */
+extern const char *const fleetVersionKey;
+extern const char *const fleetDocumentKey;
+
+/**
+ * Keeps this daemon's configuration at the newest version and proves that it
+ * is the newest, by the table or by a majority of the roster.
+ */
+class ConfigService
+{
+public:
+    using ChangeHandler = std::function<void(const FleetState &state)>;
+
+private:
+    DaemonCore &m_core;
+    PeerLinks &m_links;
+    FreshnessGuard m_guard;
+    FleetStateReader m_reader;
+    std::shared_ptr<const FleetState> m_state;
+    nlohmann::json m_document;
+    std::vector<ChangeHandler> m_changeHandlers;
+    bool m_isTableReadOpen = false;
+    bool m_isDocumentReadOpen = false;
+
+    void poll(TimePoint now);
+    void askTable(TimePoint now);
+    void askRoster(TimePoint now);
+    void fetchDocument();
+    void handle(const MessageOrigin &origin, const wire::Body &body);
+    void answerFreshness(const MessageOrigin &origin, const wire::FreshnessQuestion &question);
+    void sendDocument(PeerNetwork::LinkId link);
+    std::string addressOf(const std::string &daemon) const;
+
+public:
+    ConfigService(DaemonCore &core, PeerLinks &links);
+
+    /** Starts to poll. */
+    void start();
+
+    /** Called after each change, and at once if there is a state already. */
+    void onChange(ChangeHandler handler);
+
+    /** Takes @p document as @p version, unless a newer one is held; false when it is not valid. */
+    bool apply(std::int64_t version, const nlohmann::json &document);
+
+    /** The present state; never null, but at version 0 before the first document. */
+    const FleetState &state() const;
+    std::shared_ptr<const FleetState> sharedState() const;
+    const nlohmann::json &document() const;
+    bool isFresh() const;
+    bool isAccepted() const;
+    std::vector<std::string> outstandingMembers() const;
+
+    /** Sends the document to all members of the roster, so that they need not wait for their next poll. */
+    void pushToRoster();
+};
+
+}
--- /dev/null
+++ b/main/daemoncore.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/attemptid.h"
+#include "core/metrics.h"
+#include "core/timeline.h"
+#include "drivers/httpclient.h"
+#include "drivers/loop.h"
+#include "drivers/tableclient.h"
+#include "main/settings.h"
+
+#include <string>
+
+namespace citronspar
+{
+
+/** What all services of one daemon share: the loop, the clients, and what is recorded. */
+class DaemonCore
+{
+private:
+    Settings m_settings;
+    Loop m_loop;
+    HttpClient m_http;
+    TableClient m_table;
+    HybridClock m_clock;
+    Timeline m_timeline;
+    Metrics m_metrics;
+    std::int64_t m_incarnation;
+    std::int64_t m_lastCounter = 0;
+
+public:
+    explicit DaemonCore(const Settings &settings);
+
+    const Settings &settings() const;
+    Loop &loop();
+    TimerService &timers();
+    HttpClient &http();
+    TableClient &table();
+    HybridClock &clock();
+    const Timeline &timeline() const;
+    Metrics &metrics();
+
+    /** Drawn at random at the start. */
+    std::int64_t incarnation() const;
+
+    /** An id that no other attempt, question or reservation of the fleet has. */
+    AttemptId nextId();
+
+    /** Adds an event to the time line. */
+    void record(const std::string &part, const std::string &what, const std::string &request = std::string(),
+                const std::string &account = std::string());
+};
+
+}
--- /dev/null
+++ b/main/endpointrole.cpp
@@ -0,0 +1,287 @@
+#include "main/endpointrole.h"
+
+#include "drivers/log.h"
+#include "main/modeljob.h"
+#include "main/servicejob.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace citronspar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+const log4cxx::LoggerPtr logger = partLogger("endpoint");
+
+constexpr Duration tickPeriod = std::chrono::milliseconds(20);
+constexpr std::size_t maxSeen = 20000;
+
+std::int64_t firstIndexOf(const wire::Dispatch &dispatch)
+{
+    const json document = json::parse(dispatch.body, nullptr, false);
+    if (!document.is_object() || !document.contains("resume")) {
+        return 0;
+    }
+    return document["resume"].value("tokens", std::int64_t(0));
+}
+
+}
+
+EndpointRole::EndpointRole(DaemonCore &core, PeerLinks &links, ConfigService &config)
+    : m_core(core)
+    , m_links(links)
+    , m_config(config)
+    , m_timelines(core, links, config)
+{
+    if (!core.settings().engine.empty()) {
+        m_engine = std::make_unique<EngineWatch>(core, parseSocketAddress(core.settings().engine));
+    }
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
+    m_links.onClosed([this](PeerNetwork::LinkId link) {
+        linkClosed(link);
+    });
+}
+
+bool EndpointRole::open()
+{
+    if (m_engine != nullptr) {
+        m_engine->start();
+    }
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint) {
+        tick();
+    });
+    LOG4CXX_INFO(logger, "stands beside endpoint " << m_core.settings().endpoint);
+    return true;
+}
+
+void EndpointRole::handle(const MessageOrigin &origin, const wire::Body &body)
+{
+    if (body.__isset.probe) {
+        answerProbe(origin, body.probe);
+    } else if (body.__isset.dispatch) {
+        takeDispatch(origin, body.dispatch);
+    } else if (body.__isset.cancel) {
+        cancel(AttemptId{body.cancel.attempt.incarnation, body.cancel.attempt.counter});
+    } else if (body.__isset.credit) {
+        const auto found = m_running.find(AttemptId{body.credit.attempt.incarnation, body.credit.attempt.counter});
+        if (found != m_running.end()) {
+            found->second->credit(body.credit.deltas);
+        }
+    }
+}
+
+bool EndpointRole::isLeaving() const
+{
+    const Endpoint *endpoint = m_config.state().findEndpoint(m_core.settings().endpoint);
+    return m_isLeaving || endpoint == nullptr || endpoint->isRetired;
+}
+
+std::int64_t EndpointRole::runningPrefillTokens() const
+{
+    std::int64_t tokens = 0;
+    for (const std::pair<const AttemptId, std::shared_ptr<EndpointJob>> &entry : m_running) {
+        tokens += entry.second->pendingTokens();
+    }
+    return tokens;
+}
+
+void EndpointRole::answerProbe(const MessageOrigin &origin, const wire::Probe &probe)
+{
+    if (m_engine == nullptr) {
+        return;
+    }
+    const std::vector<std::uint64_t> chain(probe.blocks.begin(), probe.blocks.end());
+    wire::ProbeAnswer answer;
+    answer.__set_probeId(probe.probeId);
+    answer.__set_cachedBlocks(static_cast<std::int32_t>(m_engine->index().cachedPrefix(chain)));
+    answer.__set_queuedTokens(m_queue.tokensAhead(probe.account) + runningPrefillTokens());
+    answer.__set_engineIncarnation(m_engine->index().incarnation());
+    answer.__set_weights(m_engine->weights());
+    answer.__set_isLeaving(isLeaving() || !m_engine->isUp());
+    answer.__set_prefillTokensPerSecond(static_cast<std::int64_t>(m_core.settings().prefillTokensPerSecond));
+    wire::Body body;
+    body.__set_probeAnswer(answer);
+    m_links.send(origin.link, body);
+}
+
+std::optional<ErrorKind> EndpointRole::check(const wire::Dispatch &dispatch) const
+{
+    DispatchTerms terms;
+    terms.account = dispatch.account;
+    terms.keyId = dispatch.keyId;
+    terms.weights = dispatch.weights;
+    terms.configVersion = dispatch.configVersion;
+    terms.engineIncarnation = dispatch.engineIncarnation;
+    terms.timeLeft = std::chrono::milliseconds(dispatch.deadlineMilliseconds);
+    terms.digest = static_cast<std::uint64_t>(dispatch.requestDigest);
+    EndpointCondition condition;
+    condition.isLeaving = isLeaving();
+    condition.isFresh = m_config.isFresh();
+    condition.hasEngine = m_engine != nullptr;
+    condition.queuedTokens = m_queue.queuedTokens();
+    if (m_engine != nullptr) {
+        condition.weights = m_engine->weights();
+        condition.engineIncarnation = m_engine->index().incarnation();
+        condition.isEngineUp = m_engine->isUp();
+    }
+    return checkDispatch(terms, condition, m_config.state());
+}
+
+void EndpointRole::takeDispatch(const MessageOrigin &origin, const wire::Dispatch &dispatch)
+{
+    const AttemptId attempt{dispatch.attempt.incarnation, dispatch.attempt.counter};
+    if (!remember(attempt)) {
+        return;
+    }
+    const std::optional<ErrorKind> error = check(dispatch);
+    if (error.has_value()) {
+        refuse(origin, dispatch, *error);
+        return;
+    }
+    m_core.metrics().count("dispatches");
+    m_queued[attempt] = makeJob(origin, dispatch);
+    m_queue.push(FairQueue::Item{attempt, dispatch.account, std::max<std::int64_t>(missingTokens(dispatch), 1)});
+    runQueued();
+}
+
+bool EndpointRole::remember(AttemptId attempt)
+{
+    if (!m_seen.insert(attempt).second) {
+        return false;
+    }
+    m_seenOrder.push_back(attempt);
+    if (m_seenOrder.size() > maxSeen) {
+        m_seen.erase(m_seenOrder.front());
+        m_seenOrder.pop_front();
+    }
+    return true;
+}
+
+void EndpointRole::refuse(const MessageOrigin &origin, const wire::Dispatch &dispatch, ErrorKind kind)
+{
+    const AttemptId attempt{dispatch.attempt.incarnation, dispatch.attempt.counter};
+    wire::DispatchRefused refused;
+    refused.__set_attempt(dispatch.attempt);
+    refused.__set_errorKind(errorAnswer(kind).name);
+    wire::Body body;
+    body.__set_dispatchRefused(refused);
+    m_links.send(origin.link, body);
+    m_core.record("endpoint", std::string("refused, not run: ") + errorAnswer(kind).name, attempt.toString(), dispatch.account);
+}
+
+std::int64_t EndpointRole::missingTokens(const wire::Dispatch &dispatch) const
+{
+    if (m_engine == nullptr) {
+        return 0;
+    }
+    const std::vector<std::uint64_t> chain(dispatch.blocks.begin(), dispatch.blocks.end());
+    const double pieceTokens = static_cast<double>(m_core.settings().pieceBytes) / m_core.settings().bytesPerToken;
+    const double cached = static_cast<double>(m_engine->index().cachedPrefix(chain)) * pieceTokens;
+    return std::max<std::int64_t>(dispatch.promptTokens - static_cast<std::int64_t>(cached), 0);
+}
+
+std::shared_ptr<EndpointJob> EndpointRole::makeJob(const MessageOrigin &origin, const wire::Dispatch &dispatch)
+{
+    if (m_engine == nullptr) {
+        return std::make_shared<ServiceJob>(m_core, m_links, origin.link, dispatch, parseSocketAddress(m_core.settings().service));
+    }
+    const ModelJob::CrashHandler onCrash = [this](const wire::Dispatch &crashed) {
+        reportCrash(crashed);
+    };
+    return std::make_shared<ModelJob>(m_core, m_links, origin.link, dispatch, parseSocketAddress(m_core.settings().engine),
+                                      missingTokens(dispatch), firstIndexOf(dispatch), onCrash);
+}
+
+void EndpointRole::runQueued()
+{
+    while (m_running.size() < m_core.settings().maxRunning) {
+        const std::optional<FairQueue::Item> item = m_queue.pop();
+        if (!item.has_value()) {
+            return;
+        }
+        const auto found = m_queued.find(item->attempt);
+        if (found == m_queued.end()) {
+            continue;
+        }
+        const std::shared_ptr<EndpointJob> job = found->second;
+        m_queued.erase(found);
+        // The request waited, so what was checked on arrival may not hold any more.
+        const std::optional<ErrorKind> error = check(job->dispatch());
+        if (error.has_value() && *error != ErrorKind::EndpointLeaving && *error != ErrorKind::Overloaded) {
+            refuse(MessageOrigin{job->link(), std::string(), 0}, job->dispatch(), *error);
+            continue;
+        }
+        m_running[item->attempt] = job;
+        job->start();
+    }
+}
+
+void EndpointRole::cancel(AttemptId attempt)
+{
+    if (m_queued.erase(attempt) > 0) {
+        m_queue.remove(attempt);
+        return;
+    }
+    const auto found = m_running.find(attempt);
+    if (found != m_running.end()) {
+        found->second->cancel();
+    }
+}
+
+void EndpointRole::linkClosed(PeerNetwork::LinkId link)
+{
+    std::vector<AttemptId> affected;
+    for (const std::map<AttemptId, std::shared_ptr<EndpointJob>> *jobs : {&m_queued, &m_running}) {
+        for (const std::pair<const AttemptId, std::shared_ptr<EndpointJob>> &entry : *jobs) {
+            if (entry.second->link() == link) {
+                affected.push_back(entry.first);
+            }
+        }
+    }
+    for (const AttemptId attempt : affected) {
+        cancel(attempt);
+    }
+}
+
+void EndpointRole::reportCrash(const wire::Dispatch &dispatch)
+{
+    wire::SuspectReport report;
+    report.__set_requestDigest(dispatch.requestDigest);
+    report.__set_endpoint(m_core.settings().endpoint);
+    wire::Body body;
+    body.__set_suspectReport(report);
+    for (const std::pair<const std::string, std::string> &daemon : m_config.state().daemons()) {
+        m_links.sendTo(daemon.second, body);
+    }
+    m_core.record("endpoint", "the engine broke off while it ran a request", std::string(), dispatch.account);
+}
+
+void EndpointRole::tick()
+{
+    for (auto it = m_running.begin(); it != m_running.end();) {
+        it = it->second->isFinished() ? m_running.erase(it) : std::next(it);
+    }
+    runQueued();
+}
+
+void EndpointRole::beginStop()
+{
+    m_isLeaving = true;
+    m_core.record("endpoint", "leaves");
+}
+
+bool EndpointRole::isIdle() const
+{
+    return m_queued.empty() && m_running.empty();
+}
+
+}
--- /dev/null
+++ b/main/entryrole.cpp
@@ -0,0 +1,220 @@
+#include "main/entryrole.h"
+
+#include "core/digest.h"
+#include "drivers/log.h"
+#include "main/modelcall.h"
+#include "main/oncecall.h"
+
+#include <utility>
+#include <vector>
+
+namespace citronspar
+{
+
+namespace
+{
+
+const log4cxx::LoggerPtr logger = partLogger("entry");
+
+constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr double retryShare = 0.2;
+constexpr double retryReserve = 50;
+constexpr int maxCrashes = 2;
+constexpr Duration blockTime = std::chrono::minutes(10);
+constexpr std::size_t maxSuspects = 10000;
+
+std::string bearerKey(const std::string &authorization)
+{
+    const std::string prefix = "Bearer ";
+    return authorization.compare(0, prefix.size(), prefix) == 0 ? authorization.substr(prefix.size()) : std::string();
+}
+
+HttpServer::Limits serverLimits(const Settings &settings)
+{
+    HttpServer::Limits limits;
+    limits.maxBodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
+}
+
+EntryRole::EntryRole(DaemonCore &core, PeerLinks &links, ConfigService &config, std::unique_ptr<RoutingStrategy> strategy)
+    : m_core(core)
+    , m_links(links)
+    , m_config(config)
+    , m_server(core.loop(), serverLimits(core.settings()))
+    , m_writer(core, config)
+    , m_limits(core, links, config, m_writer)
+    , m_probes(core, links, config, std::move(strategy))
+    , m_timelines(core, links, config)
+    , m_operators(core, config, m_writer, m_limits, m_timelines, m_server)
+    , m_retries(retryShare, retryReserve)
+    , m_suspects(maxCrashes, blockTime, maxSuspects)
+{
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
+    m_links.onClosed([this](PeerNetwork::LinkId link) {
+        linkClosed(link);
+    });
+}
+
+bool EntryRole::open()
+{
+    if (!m_server.open(parseSocketAddress(m_core.settings().httpListen))) {
+        LOG4CXX_ERROR(logger, "can't listen on " << m_core.settings().httpListen);
+        return false;
+    }
+    m_server.onRequest([this](HttpServer::ExchangeId id, HttpRequest request) {
+        takeRequest(id, std::move(request));
+    });
+    m_server.onGone([this](HttpServer::ExchangeId id) {
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end()) {
+            found->second->callerGone();
+        }
+    });
+    m_server.onDrained([this](HttpServer::ExchangeId id) {
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end()) {
+            found->second->drained();
+        }
+    });
+    m_limits.start();
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) {
+        tick(now);
+    });
+    LOG4CXX_INFO(logger, "serves callers on " << m_core.settings().httpListen);
+    return true;
+}
+
+void EntryRole::reject(HttpServer::ExchangeId id, ErrorKind kind)
+{
+    const ErrorAnswer &answer = errorAnswer(kind);
+    m_core.metrics().count(std::string("refused.") + answer.name);
+    m_server.respond(id, answer.httpStatus, "application/json",
+                     errorBody(kind, answer.runState, m_core.nextId().toString(), Duration::zero()));
+}
+
+void EntryRole::takeRequest(HttpServer::ExchangeId id, HttpRequest request)
+{
+    if (m_operators.handle(id, request)) {
+        return;
+    }
+    m_core.metrics().count("requests");
+    m_retries.addRequest();
+    if (m_isStopping) {
+        reject(id, ErrorKind::EndpointLeaving);
+        return;
+    }
+    if (!m_config.isFresh()) {
+        reject(id, ErrorKind::NotFresh);
+        return;
+    }
+    const Route *route = m_config.state().findRoute(request.path);
+    if (route == nullptr) {
+        reject(id, ErrorKind::UnknownRoute);
+        return;
+    }
+    Caller caller;
+    if (route->kind != RouteKind::Open) {
+        const std::string text = bearerKey(request.authorization);
+        if (text.empty()) {
+            reject(id, ErrorKind::KeyMissing);
+            return;
+        }
+        const Key *key = m_config.state().findKeyByDigest(sha256Hex(text));
+        if (key == nullptr || key->isWithdrawn || m_config.state().findAccount(key->account) == nullptr) {
+            reject(id, ErrorKind::KeyRejected);
+            return;
+        }
+        caller = Caller{key->account, key->id};
+    }
+    // From here on nothing holds the key.
+    request.authorization.clear();
+    const std::shared_ptr<Call> call = makeCall(id, caller, *route, std::move(request));
+    m_calls[id] = call;
+    call->start();
+}
+
+std::shared_ptr<Call> EntryRole::makeCall(HttpServer::ExchangeId id, const Caller &caller, const Route &route, HttpRequest request)
+{
+    const CallServices services{m_core, m_links, m_config, m_limits, m_server, m_probes, m_retries, m_suspects};
+    if (route.kind == RouteKind::Model) {
+        return std::make_shared<ModelCall>(services, id, caller, route, std::move(request));
+    }
+    return std::make_shared<OnceCall>(services, id, caller, route, std::move(request), route.kind == RouteKind::Open);
+}
+
+std::shared_ptr<Call> EntryRole::findByAttempt(const wire::AttemptId &attempt) const
+{
+    const AttemptId id{attempt.incarnation, attempt.counter};
+    for (const std::pair<const HttpServer::ExchangeId, std::shared_ptr<Call>> &entry : m_calls) {
+        if (entry.second->attempt() == id && !entry.second->isFinished()) {
+            return entry.second;
+        }
+    }
+    return nullptr;
+}
+
+void EntryRole::handle(const MessageOrigin &, const wire::Body &body)
+{
+    std::shared_ptr<Call> call;
+    if (body.__isset.dispatchRefused) {
+        call = findByAttempt(body.dispatchRefused.attempt);
+        if (call != nullptr) {
+            const ErrorKind kind = errorKindFromName(body.dispatchRefused.errorKind).value_or(ErrorKind::NoEndpoint);
+            call->refused(call->attempt(), kind);
+        }
+    } else if (body.__isset.streamDelta) {
+        call = findByAttempt(body.streamDelta.attempt);
+        if (call != nullptr) {
+            call->delta(body.streamDelta);
+        }
+    } else if (body.__isset.streamEnd) {
+        call = findByAttempt(body.streamEnd.attempt);
+        if (call != nullptr) {
+            call->ended(body.streamEnd);
+        }
+    } else if (body.__isset.suspectReport) {
+        const std::uint64_t digest = static_cast<std::uint64_t>(body.suspectReport.requestDigest);
+        const int crashes = m_suspects.addCrash(digest, Loop::now());
+        m_core.record("suspects", "request blamed for a crash of " + body.suspectReport.endpoint + ", count " + std::to_string(crashes));
+    }
+}
+
+void EntryRole::linkClosed(PeerNetwork::LinkId link)
+{
+    std::vector<std::shared_ptr<Call>> affected;
+    for (const std::pair<const HttpServer::ExchangeId, std::shared_ptr<Call>> &entry : m_calls) {
+        if (entry.second->link() == link && !entry.second->isFinished()) {
+            affected.push_back(entry.second);
+        }
+    }
+    for (const std::shared_ptr<Call> &call : affected) {
+        call->linkLost();
+    }
+}
+
+void EntryRole::tick(TimePoint now)
+{
+    for (auto it = m_calls.begin(); it != m_calls.end();) {
+        if (!it->second->isFinished() && now >= it->second->deadline()) {
+            it->second->deadlinePassed();
+        }
+        it = it->second->isFinished() ? m_calls.erase(it) : std::next(it);
+    }
+}
+
+void EntryRole::beginStop()
+{
+    m_isStopping = true;
+    m_core.record("entry", "stops taking requests");
+}
+
+bool EntryRole::isIdle() const
+{
+    return m_calls.empty() && m_server.openExchanges() == 0;
+}
+
+}
--- /dev/null
+++ b/main/entryrole.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "drivers/httpserver.h"
+#include "main/call.h"
+#include "main/configwriter.h"
+#include "main/limitservice.h"
+#include "main/operatorapi.h"
+#include "main/probeservice.h"
+#include "main/role.h"
+#include "main/timelineservice.h"
+
+#include <map>
+#include <memory>
+
+namespace citronspar
+{
+
+/** Takes callers' requests, checks their keys, and sees each request to the end of its answer. */
+class EntryRole : public Role
+{
+private:
+    DaemonCore &m_core;
+    PeerLinks &m_links;
+    ConfigService &m_config;
+    HttpServer m_server;
+    ConfigWriter m_writer;
+    LimitService m_limits;
+    ProbeService m_probes;
+    TimelineService m_timelines;
+    OperatorApi m_operators;
+    RetryBudget m_retries;
+    SuspectList m_suspects;
+    std::map<HttpServer::ExchangeId, std::shared_ptr<Call>> m_calls;
+    bool m_isStopping = false;
+
+    void takeRequest(HttpServer::ExchangeId id, HttpRequest request);
+    std::shared_ptr<Call> makeCall(HttpServer::ExchangeId id, const Caller &caller, const Route &route, HttpRequest request);
+    void reject(HttpServer::ExchangeId id, ErrorKind kind);
+    void handle(const MessageOrigin &origin, const wire::Body &body);
+    std::shared_ptr<Call> findByAttempt(const wire::AttemptId &attempt) const;
+    void linkClosed(PeerNetwork::LinkId link);
+    void tick(TimePoint now);
+
+public:
+    EntryRole(DaemonCore &core, PeerLinks &links, ConfigService &config, std::unique_ptr<RoutingStrategy> strategy);
+
+    bool open() override;
+    void beginStop() override;
+    bool isIdle() const override;
+};
+
+}
--- /dev/null
+++ b/main/main.cpp
@@ -0,0 +1,133 @@
+#include "core/scopeguard.h"
+#include "drivers/log.h"
+#include "main/configservice.h"
+#include "main/daemoncore.h"
+#include "main/endpointrole.h"
+#include "main/entryrole.h"
+#include "main/peerlinks.h"
+#include "main/settings.h"
+#include "servers/routingstrategy.h"
+
+#include <popt.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+namespace
+{
+
+using namespace citronspar;
+
+constexpr int exitUsage = 2;
+constexpr Duration stopPoll = std::chrono::milliseconds(50);
+
+volatile std::sig_atomic_t isStopRequested = 0;
+
+void requestStop(int)
+{
+    isStopRequested = 1;
+}
+
+std::optional<std::string> settingsPath(int argc, const char **argv)
+{
+    char *path = nullptr;
+    int hasVersion = 0;
+    const poptOption options[] = {
+        {"settings", 's', POPT_ARG_STRING, &path, 0, "JSON file with the settings of this process", "FILE"},
+        {"version", 'V', POPT_ARG_NONE, &hasVersion, 0, "print the version and exit", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext("citronspard", argc, argv, options, 0);
+    const ScopeGuard freeContext([context]() {
+        poptFreeContext(context);
+    });
+    const int result = poptGetNextOpt(context);
+    if (result < -1) {
+        std::cerr << "citronspard: " << poptBadOption(context, 0) << ": " << poptStrerror(result) << "\n";
+        return std::nullopt;
+    }
+    if (hasVersion != 0) {
+        std::cout << "citronspard " << CITRONSPAR_VERSION << "\n";
+        std::exit(EXIT_SUCCESS);
+    }
+    if (path == nullptr) {
+        std::cerr << "citronspard: --settings is required; see --help\n";
+        return std::nullopt;
+    }
+    const std::string text = path;
+    std::free(path);
+    return text;
+}
+
+std::unique_ptr<Role> makeRole(DaemonCore &core, PeerLinks &links, ConfigService &config)
+{
+    if (core.settings().role == Settings::Role::Endpoint) {
+        return std::make_unique<EndpointRole>(core, links, config);
+    }
+    const std::string name = core.settings().strategy.empty() ? defaultRoutingStrategy : core.settings().strategy;
+    std::unique_ptr<RoutingStrategy> strategy = makeRoutingStrategy(name, RoutingSettings());
+    if (strategy == nullptr) {
+        std::cerr << "citronspard: no routing strategy is called " << name << "\n";
+        return nullptr;
+    }
+    return std::make_unique<EntryRole>(core, links, config, std::move(strategy));
+}
+
+int runDaemon(const Settings &settings)
+{
+    const log4cxx::LoggerPtr logger = partLogger("daemon");
+    DaemonCore core(settings);
+    if (!core.loop().isOpen()) {
+        LOG4CXX_ERROR(logger, "the event loop can't be set up");
+        return EXIT_FAILURE;
+    }
+    PeerLinks links(core);
+    if (!links.open()) {
+        LOG4CXX_ERROR(logger, "can't listen on " << settings.peerListen);
+        return EXIT_FAILURE;
+    }
+    ConfigService config(core, links);
+    const std::unique_ptr<Role> role = makeRole(core, links, config);
+    if (role == nullptr || !role->open()) {
+        return EXIT_FAILURE;
+    }
+    config.start();
+    bool isStopping = false;
+    core.timers().subscribe(stopPoll, [&](TimePoint) {
+        if (isStopRequested != 0 && !isStopping) {
+            isStopping = true;
+            LOG4CXX_INFO(logger, "stops when all work has ended");
+            role->beginStop();
+        }
+        if (isStopping && role->isIdle()) {
+            core.loop().stop();
+        }
+    });
+    core.record("daemon", "started");
+    core.loop().run();
+    LOG4CXX_INFO(logger, "stopped");
+    return EXIT_SUCCESS;
+}
+
+}
+
+int main(int argc, const char **argv)
+{
+    const std::optional<std::string> path = settingsPath(argc, argv);
+    if (!path.has_value()) {
+        return exitUsage;
+    }
+    SettingsReader reader;
+    const std::optional<Settings> settings = reader.read(*path);
+    if (!settings.has_value()) {
+        std::cerr << "citronspard: " << reader.lastReason() << "\n";
+        return exitUsage;
+    }
+    setUpLogging(settings->logLayout == "json" ? LogLayout::Json : LogLayout::Text, settings->logLevel);
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGPIPE, SIG_IGN);
+    return runDaemon(*settings);
+}
--- /dev/null
+++ b/main/modelcall.cpp
@@ -0,0 +1,362 @@
+#include "main/modelcall.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t maxEarlyDeltas = 1024;
+constexpr std::int64_t creditBatch = 64;
+constexpr std::size_t maxBufferedBytes = 256 * 1024;
+constexpr Duration retryPause = std::chrono::milliseconds(10);
+
+/** The text of one message, whose content is a string or a list of parts. */
+std::optional<std::string> messageText(const json &message)
+{
+    if (!message.is_object() || !message.contains("content")) {
+        return std::nullopt;
+    }
+    const std::string role = message.contains("role") && message["role"].is_string() ? message["role"].get<std::string>() : std::string();
+    const json &content = message["content"];
+    return role + "\n" + (content.is_string() ? content.get<std::string>() : content.dump()) + "\n";
+}
+
+std::string deltaText(const json &event)
+{
+    if (!event.is_object() || !event.contains("choices") || !event["choices"].is_array() || event["choices"].empty()) {
+        return std::string();
+    }
+    const json &choice = event["choices"].front();
+    const json delta = choice.value("delta", json::object());
+    if (delta.contains("content") && delta["content"].is_string()) {
+        return delta["content"].get<std::string>();
+    }
+    return choice.value("text", std::string());
+}
+
+std::string sseEvent(const std::string &data)
+{
+    return "data: " + data + "\n\n";
+}
+
+}
+
+ModelCall::ModelCall(const CallServices &services, ExchangeId exchange, Caller caller, Route route, HttpRequest request)
+    : Call(services, exchange, std::move(caller), std::move(route), std::move(request))
+    , m_assembler(maxEarlyDeltas)
+{
+}
+
+bool ModelCall::parseRequest()
+{
+    m_document = json::parse(m_request.body, nullptr, false);
+    if (!m_document.is_object() || !m_document.contains("model") || !m_document["model"].is_string()) {
+        return false;
+    }
+    if (m_document.contains("messages") && m_document["messages"].is_array()) {
+        for (const json &message : m_document["messages"]) {
+            const std::optional<std::string> text = messageText(message);
+            if (!text.has_value()) {
+                return false;
+            }
+            m_messages.push_back(*text);
+        }
+    } else if (m_document.contains("prompt") && m_document["prompt"].is_string()) {
+        m_messages.push_back(m_document["prompt"].get<std::string>());
+    }
+    const json stream = m_document.value("stream", json(false));
+    const json maxTokens = m_document.value("max_tokens", json(1));
+    m_isStream = stream.is_boolean() && stream.get<bool>();
+    return !m_messages.empty() && stream.is_boolean() && maxTokens.is_number_integer() && maxTokens.get<std::int64_t>() > 0;
+}
+
+void ModelCall::start()
+{
+    if (!parseRequest()) {
+        fail(ErrorKind::BadRequest);
+        return;
+    }
+    m_digest = hashCombine(hashBytes(m_caller.account, 0), hashBytes(m_request.body, 0));
+    if (m_services.suspects.isBlocked(m_digest, Loop::now())) {
+        fail(ErrorKind::RequestBlocked);
+        return;
+    }
+    const std::vector<const Endpoint *> endpoints = m_services.config.state().endpointsOfPool(m_route.pool);
+    const ChainScope scope{m_caller.account, m_document["model"].get<std::string>(), m_document.value("adapter", std::string()),
+                           endpoints.empty() ? std::string() : endpoints.front()->weights};
+    m_chain = buildPromptChain(scope, m_messages, m_services.core.settings().pieceBytes, m_services.core.settings().bytesPerToken);
+    reserveTokens();
+}
+
+void ModelCall::reserveTokens()
+{
+    const std::int64_t bound = m_services.config.state().defaults().maxOutputTokens;
+    m_reservedTokens = m_chain.promptTokens + std::min(m_document.value("max_tokens", bound), bound);
+    m_document["max_tokens"] = m_reservedTokens - m_chain.promptTokens;
+    const std::weak_ptr<ModelCall> weak = weak_from_this();
+    m_services.limits.reserve(m_caller.account, m_reservedTokens, [weak](const LimitService::Reservation &reservation) {
+        const std::shared_ptr<ModelCall> call = weak.lock();
+        if (call == nullptr || call->isFinished()) {
+            return;
+        }
+        if (!reservation.grant.isGranted) {
+            call->fail(reservation.grant.kind, reservation.grant.retryAfter);
+            return;
+        }
+        call->m_reservation = reservation.id;
+        call->findPlace();
+    });
+}
+
+void ModelCall::findPlace()
+{
+    ProbeService::Question question;
+    question.account = m_caller.account;
+    question.pool = m_route.pool;
+    question.chain = m_chain;
+    question.excluded = m_tried;
+    question.weights = m_assembler.nextIndex() > 0 ? m_weights : std::string();
+    const std::weak_ptr<ModelCall> weak = weak_from_this();
+    m_services.probes.place(question, [weak](const std::optional<Placement> &placement) {
+        const std::shared_ptr<ModelCall> call = weak.lock();
+        if (call == nullptr || call->isFinished()) {
+            return;
+        }
+        if (placement.has_value()) {
+            call->dispatchTo(*placement);
+            return;
+        }
+        // Every endpoint was tried or failed lately, so after a pause all count again.
+        call->m_tried.clear();
+        call->retryOr(ErrorKind::NoEndpoint);
+    });
+}
+
+void ModelCall::dispatchTo(const Placement &placement)
+{
+    // A withdrawn key gets no new work, also on a call that was admitted before.
+    if (!m_services.config.isFresh()) {
+        breakStream(ErrorKind::NotFresh);
+        return;
+    }
+    ++m_attempts;
+    m_attempt = m_services.core.nextId();
+    m_endpoint = placement.endpoint;
+    m_weights = placement.weights;
+    m_assembler.beginAttempt(m_attempt);
+    json document = m_document;
+    document["stream"] = true;
+    if (m_assembler.nextIndex() > 0) {
+        document["resume"] = {{"text", m_text}, {"tokens", m_assembler.nextIndex()}};
+    }
+    wire::Dispatch dispatch;
+    dispatch.__set_weights(placement.weights);
+    dispatch.__set_engineIncarnation(placement.engineIncarnation);
+    dispatch.__set_body(document.dump());
+    dispatch.__set_blocks(std::vector<std::int64_t>(m_chain.blocks.begin(), m_chain.blocks.end()));
+    dispatch.__set_promptTokens(m_chain.promptTokens);
+    dispatch.__set_requestDigest(static_cast<std::int64_t>(m_digest));
+    if (!sendDispatch(placement.address, dispatch)) {
+        linkLost();
+    }
+}
+
+void ModelCall::retryOr(ErrorKind kind)
+{
+    const bool canRetry = m_attempts < m_services.config.state().defaults().maxAttempts && Loop::now() + retryPause < m_deadline;
+    if (m_services.suspects.isBlocked(m_digest, Loop::now())) {
+        breakStream(ErrorKind::RequestBlocked);
+        return;
+    }
+    if (!canRetry || !m_services.retries.takeRetry()) {
+        breakStream(kind);
+        return;
+    }
+    ++m_attempts;
+    m_services.core.metrics().count("retries");
+    m_attempt = AttemptId();
+    const std::weak_ptr<ModelCall> weak = weak_from_this();
+    m_services.core.timers().subscribeOnce(retryPause, [weak](TimePoint) {
+        const std::shared_ptr<ModelCall> call = weak.lock();
+        if (call != nullptr && !call->isFinished()) {
+            call->findPlace();
+        }
+    });
+}
+
+void ModelCall::refused(AttemptId attempt, ErrorKind kind)
+{
+    if (isFinished() || attempt != m_attempt) {
+        return;
+    }
+    --m_unsettledAttempts;
+    record(std::string("refused by ") + m_endpoint + ": " + errorAnswer(kind).name);
+    if (!errorAnswer(kind).isRetryable) {
+        breakStream(kind);
+        return;
+    }
+    retryOr(kind);
+}
+
+void ModelCall::delta(const wire::StreamDelta &delta)
+{
+    const AttemptId attempt{delta.attempt.incarnation, delta.attempt.counter};
+    ++m_creditOwed;
+    for (const std::string &data : m_assembler.add(attempt, delta.index, delta.data)) {
+        passOn(data);
+    }
+    grantCredit();
+    if (m_assembler.state() == StreamAssembler::State::Complete) {
+        completeAnswer();
+    }
+}
+
+void ModelCall::passOn(const std::string &data)
+{
+    if (!m_hasBegun) {
+        m_hasBegun = true;
+        m_services.core.metrics().sample("first_token_ms", Loop::now() - m_startedAt);
+        record("first token");
+        if (m_isStream) {
+            m_services.server.beginStream(m_exchange, 200, "text/event-stream");
+        }
+    }
+    m_text += deltaText(json::parse(data, nullptr, false));
+    if (m_isStream) {
+        m_services.server.writeStream(m_exchange, sseEvent(data));
+    }
+}
+
+void ModelCall::grantCredit()
+{
+    const bool isSlow = m_services.server.bufferedBytes(m_exchange) > maxBufferedBytes;
+    if (m_creditOwed < creditBatch || isSlow) {
+        return;
+    }
+    wire::Credit credit;
+    credit.attempt.__set_incarnation(m_attempt.incarnation);
+    credit.attempt.__set_counter(m_attempt.counter);
+    credit.__isset.attempt = true;
+    credit.__set_deltas(m_creditOwed);
+    wire::Body body;
+    body.__set_credit(credit);
+    m_services.links.send(m_link, body);
+    m_creditOwed = 0;
+}
+
+void ModelCall::drained()
+{
+    grantCredit();
+}
+
+void ModelCall::ended(const wire::StreamEnd &end)
+{
+    const AttemptId attempt{end.attempt.incarnation, end.attempt.counter};
+    if (isFinished() || attempt != m_attempt) {
+        return;
+    }
+    if (!end.errorKind.empty()) {
+        const ErrorKind kind = errorKindFromName(end.errorKind).value_or(ErrorKind::StreamBroken);
+        m_assembler.fail(attempt);
+        record("attempt broke off: " + end.errorKind);
+        if (errorAnswer(kind).isRetryable) {
+            retryOr(kind);
+        } else {
+            breakStream(kind);
+        }
+        return;
+    }
+    m_assembler.end(attempt, end.count);
+    if (m_assembler.state() == StreamAssembler::State::Complete) {
+        completeAnswer();
+    } else if (m_assembler.state() == StreamAssembler::State::Broken) {
+        breakStream(ErrorKind::StreamBroken);
+    }
+}
+
+void ModelCall::completeAnswer()
+{
+    if (isFinished()) {
+        return;
+    }
+    if (m_isStream) {
+        if (!m_hasBegun) {
+            m_services.server.beginStream(m_exchange, 200, "text/event-stream");
+        }
+        m_services.server.writeStream(m_exchange, sseEvent("[DONE]"));
+        m_services.server.endStream(m_exchange);
+    } else {
+        const json answer = {
+            {"id", m_name},
+            {"object", "chat.completion"},
+            {"model", m_document["model"]},
+            {"choices", {{{"index", 0}, {"message", {{"role", "assistant"}, {"content", m_text}}}, {"finish_reason", "stop"}}}},
+            {"usage", {{"prompt_tokens", m_chain.promptTokens}, {"completion_tokens", m_assembler.nextIndex()}}},
+        };
+        m_services.server.respond(m_exchange, 200, "application/json", answer.dump());
+    }
+    m_services.core.metrics().count("completed");
+    m_services.core.metrics().sample("answer_ms", Loop::now() - m_startedAt);
+    record("complete after " + std::to_string(m_assembler.nextIndex()) + " deltas");
+    settleReservation();
+    finish();
+}
+
+void ModelCall::breakStream(ErrorKind kind)
+{
+    settleReservation();
+    if (!m_hasBegun || !m_isStream) {
+        fail(kind);
+        return;
+    }
+    m_services.server.writeStream(m_exchange, sseEvent(errorBody(kind, runState(kind), m_name, Duration::zero())));
+    m_services.server.endStream(m_exchange);
+    m_services.core.metrics().count(std::string("broken.") + errorAnswer(kind).name);
+    record(std::string("stream broken: ") + errorAnswer(kind).name);
+    finish();
+}
+
+void ModelCall::settleReservation()
+{
+    if (m_reservation.empty()) {
+        return;
+    }
+    const bool hasRun = m_assembler.nextIndex() > 0;
+    const std::int64_t used = hasRun ? m_chain.promptTokens + m_assembler.nextIndex() : 0;
+    m_services.limits.giveBack(m_caller.account, m_reservation, std::max<std::int64_t>(m_reservedTokens - used, 0));
+    m_reservation.clear();
+}
+
+void ModelCall::linkLost()
+{
+    if (isFinished()) {
+        return;
+    }
+    m_services.probes.noteFailure(m_endpoint);
+    m_assembler.fail(m_attempt);
+    record("lost contact with " + m_endpoint);
+    retryOr(ErrorKind::StreamBroken);
+}
+
+void ModelCall::deadlinePassed()
+{
+    breakStream(m_attempts == 0 ? ErrorKind::DeadlinePassed : ErrorKind::StreamBroken);
+}
+
+void ModelCall::callerGone()
+{
+    if (!isFinished()) {
+        settleReservation();
+    }
+    Call::callerGone();
+}
+
+}
--- /dev/null
+++ b/main/modeljob.cpp
@@ -0,0 +1,136 @@
+#include "main/modeljob.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::int64_t creditWindow = 512;
+constexpr int statusOk = 200;
+constexpr int statusServerError = 500;
+const char *const endMark = "[DONE]";
+
+}
+
+ModelJob::ModelJob(DaemonCore &core, PeerLinks &links, PeerNetwork::LinkId link, wire::Dispatch dispatch, SocketAddress engine,
+                   std::int64_t missingTokens, std::int64_t firstIndex, CrashHandler onCrash)
+    : EndpointJob(core, links, link, std::move(dispatch))
+    , m_engine(std::move(engine))
+    , m_missingTokens(missingTokens)
+    , m_nextIndex(firstIndex)
+    , m_credit(creditWindow)
+    , m_crashHandler(std::move(onCrash))
+{
+}
+
+void ModelJob::start()
+{
+    json document = json::parse(m_dispatch.body, nullptr, false);
+    if (!document.is_object()) {
+        sendRefusal(ErrorKind::BadRequest);
+        finish();
+        return;
+    }
+    // The engine shares cached blocks only between requests that name the same block.
+    document["block_hashes"] = std::vector<std::uint64_t>(m_dispatch.blocks.begin(), m_dispatch.blocks.end());
+    document["prompt_tokens"] = m_dispatch.promptTokens;
+    HttpClientRequest request;
+    request.target = m_engine;
+    request.method = "POST";
+    request.path = m_dispatch.path;
+    request.headers.emplace_back("content-type", "application/json");
+    request.body = document.dump();
+    const std::weak_ptr<ModelJob> weak = weak_from_this();
+    HttpClient::Handlers handlers;
+    handlers.onHead = [weak](int status, const std::string &) {
+        const std::shared_ptr<ModelJob> job = weak.lock();
+        if (job != nullptr) {
+            job->m_status = status;
+        }
+    };
+    handlers.onData = [weak](const std::string &data) {
+        const std::shared_ptr<ModelJob> job = weak.lock();
+        if (job != nullptr && !job->isFinished()) {
+            job->takeData(data);
+        }
+    };
+    handlers.onEnd = [weak](HttpEnd end) {
+        const std::shared_ptr<ModelJob> job = weak.lock();
+        if (job != nullptr && !job->isFinished()) {
+            job->engineEnded(end);
+        }
+    };
+    m_call = m_core.http().send(std::move(request), std::move(handlers));
+}
+
+void ModelJob::takeData(const std::string &data)
+{
+    if (m_status != statusOk) {
+        return;
+    }
+    for (const std::string &event : m_reader.add(data)) {
+        if (event == endMark) {
+            sendEnd(m_nextIndex, std::string(), statusOk, "text/event-stream");
+            finish();
+            m_core.http().cancel(m_call);
+            return;
+        }
+        m_hasFirstDelta = true;
+        sendDelta(m_nextIndex, event);
+        ++m_nextIndex;
+        --m_credit;
+    }
+    if (m_credit <= 0) {
+        m_core.http().pause(m_call);
+    }
+}
+
+void ModelJob::engineEnded(HttpEnd end)
+{
+    if (end == HttpEnd::NotSent) {
+        sendRefusal(ErrorKind::NoEndpoint);
+        finish();
+        return;
+    }
+    if (m_status != 0 && m_status != statusOk && m_status < statusServerError) {
+        sendRefusal(ErrorKind::BadRequest);
+        finish();
+        return;
+    }
+    // Without its end mark the answer is not whole, whatever the connection says.
+    if (m_status == 0 || m_status == statusOk) {
+        m_crashHandler(m_dispatch);
+    }
+    sendEnd(m_nextIndex, errorAnswer(ErrorKind::StreamBroken).name, 0, std::string());
+    finish();
+}
+
+void ModelJob::cancel()
+{
+    m_core.http().cancel(m_call);
+    m_core.record("endpoint", "attempt cancelled", attempt().toString(), m_dispatch.account);
+    finish();
+}
+
+void ModelJob::credit(std::int64_t deltas)
+{
+    const bool wasPaused = m_credit <= 0;
+    m_credit += deltas;
+    if (wasPaused && m_credit > 0) {
+        m_core.http().resume(m_call);
+    }
+}
+
+std::int64_t ModelJob::pendingTokens() const
+{
+    return m_hasFirstDelta ? 0 : m_missingTokens;
+}
+
+}
--- /dev/null
+++ b/main/oncecall.cpp
@@ -0,0 +1,273 @@
+#include "main/oncecall.h"
+
+#include "core/digest.h"
+#include "core/hash.h"
+#include "drivers/claimrowjson.h"
+#include "main/probeservice.h"
+#include "servers/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace citronspar
+{
+
+namespace
+{
+
+// A plain call counts as one token, so that its rate is limited as well.
+constexpr std::int64_t tokensOfCall = 1;
+
+// How long a call waits for an endpoint when none can take it.
+constexpr Duration noEndpointPatience = std::chrono::seconds(2);
+constexpr Duration noEndpointPause = std::chrono::milliseconds(100);
+
+}
+
+OnceCall::OnceCall(const CallServices &services, ExchangeId exchange, Caller caller, Route route, HttpRequest request, bool canRepeat)
+    : Call(services, exchange, std::move(caller), std::move(route), std::move(request))
+    , m_canRepeat(canRepeat)
+{
+}
+
+std::weak_ptr<OnceCall> OnceCall::weak()
+{
+    return weak_from_this();
+}
+
+void OnceCall::start()
+{
+    if (m_caller.account.empty()) {
+        dispatchUnclaimed();
+        return;
+    }
+    reserveThenRun();
+}
+
+void OnceCall::reserveThenRun()
+{
+    const std::weak_ptr<OnceCall> self = weak();
+    m_services.limits.reserve(m_caller.account, tokensOfCall, [self](const LimitService::Reservation &reservation) {
+        const std::shared_ptr<OnceCall> call = self.lock();
+        if (call == nullptr || call->isFinished()) {
+            return;
+        }
+        if (!reservation.grant.isGranted) {
+            call->fail(reservation.grant.kind, reservation.grant.retryAfter);
+            return;
+        }
+        if (call->m_request.idempotencyKey.empty()) {
+            call->dispatchUnclaimed();
+            return;
+        }
+        call->m_claimKey = "claim/" + call->m_caller.account + "/" + sha256Hex(call->m_request.idempotencyKey);
+        call->m_digest = hashCombine(hashBytes(call->m_request.method + " " + call->m_request.path, 0), hashBytes(call->m_request.body, 0));
+        ClaimFlow::Settings settings;
+        settings.maxAttempts = call->m_services.config.state().defaults().maxAttempts;
+        DaemonCore &core = call->m_services.core;
+        const ClaimFlow::AttemptSource source = [&core]() {
+            return core.nextId();
+        };
+        call->m_flow = std::make_unique<ClaimFlow>(settings, source, call->m_digest, call->m_deadline);
+        call->act(call->m_flow->start(Loop::now()));
+    });
+}
+
+void OnceCall::act(const ClaimFlow::Action &action)
+{
+    if (const ClaimFlow::WriteRow *write = std::get_if<ClaimFlow::WriteRow>(&action)) {
+        writeRow(*write);
+    } else if (const ClaimFlow::ReadRow *read = std::get_if<ClaimFlow::ReadRow>(&action)) {
+        readRow(*read);
+    } else if (const ClaimFlow::DispatchWork *work = std::get_if<ClaimFlow::DispatchWork>(&action)) {
+        m_attempt = work->attempt;
+        dispatchOrWait(work->claimRevision, Loop::now() + noEndpointPatience);
+    } else if (const ClaimFlow::AnswerStored *stored = std::get_if<ClaimFlow::AnswerStored>(&action)) {
+        record("answered from the store");
+        m_services.server.respond(m_exchange, stored->status, stored->contentType, stored->answer);
+        finish();
+    } else if (const ClaimFlow::Fail *failure = std::get_if<ClaimFlow::Fail>(&action)) {
+        // The table has settled what became of all attempts, so the kind says it exactly.
+        m_unsettledAttempts = 0;
+        fail(failure->kind);
+    }
+}
+
+void OnceCall::writeRow(const ClaimFlow::WriteRow &write)
+{
+    const std::weak_ptr<OnceCall> self = weak();
+    const TablePut put{m_claimKey, write.expectedRevision, claimRowToJson(write.row)};
+    m_services.core.table().transact({put}, [self](const TableReply &reply) {
+        const std::shared_ptr<OnceCall> call = self.lock();
+        if (call != nullptr && !call->isFinished()) {
+            const StoredClaim current = reply.rows.empty() ? StoredClaim() : storedClaimFromRow(reply.rows.front());
+            call->act(call->m_flow->writeEnded(reply.outcome, current, Loop::now()));
+        }
+    });
+}
+
+void OnceCall::readRow(const ClaimFlow::ReadRow &read)
+{
+    const std::weak_ptr<OnceCall> self = weak();
+    m_services.core.timers().subscribeOnce(read.pause, [self](TimePoint) {
+        const std::shared_ptr<OnceCall> waiting = self.lock();
+        if (waiting == nullptr || waiting->isFinished()) {
+            return;
+        }
+        waiting->m_services.core.table().read(waiting->m_claimKey, [self](const std::optional<TableRow> &row) {
+            const std::shared_ptr<OnceCall> call = self.lock();
+            if (call == nullptr || call->isFinished()) {
+                return;
+            }
+            const std::optional<StoredClaim> stored =
+                row.has_value() ? std::optional<StoredClaim>(storedClaimFromRow(*row)) : std::optional<StoredClaim>();
+            call->act(call->m_flow->readEnded(stored, Loop::now()));
+        });
+    });
+}
+
+bool OnceCall::dispatch(std::int64_t claimRevision)
+{
+    std::vector<const Endpoint *> usable;
+    std::vector<std::uint64_t> hashes;
+    for (const Endpoint *endpoint : m_services.config.state().endpointsOfPool(m_route.pool)) {
+        if (m_tried.count(endpoint->id) == 0 && !m_services.probes.hasFailedLately(endpoint->id)) {
+            usable.push_back(endpoint);
+            hashes.push_back(hashBytes(endpoint->id, 0));
+        }
+    }
+    if (usable.empty() || !m_services.config.isFresh()) {
+        m_tried.clear();
+        return false;
+    }
+    const std::uint64_t key = hashBytes(m_claimKey.empty() ? m_name : m_claimKey, 0);
+    const Endpoint *chosen = usable[rendezvousOrder(key, hashes).front()];
+    ++m_attempts;
+    m_endpoint = chosen->id;
+    m_isDispatched = true;
+    m_nextIndex = 0;
+    m_answer.clear();
+    wire::Dispatch message;
+    message.__set_body(m_request.body);
+    message.__set_claimKey(m_claimKey);
+    message.__set_claimRevision(claimRevision);
+    message.__set_requestDigest(static_cast<std::int64_t>(m_digest));
+    if (!sendDispatch(chosen->address, message)) {
+        linkLost();
+    }
+    return true;
+}
+
+void OnceCall::dispatchUnclaimed()
+{
+    m_attempt = m_services.core.nextId();
+    dispatchOrWait(0, Loop::now() + noEndpointPatience);
+}
+
+void OnceCall::dispatchOrWait(std::int64_t claimRevision, TimePoint giveUpAt)
+{
+    if (isFinished() || dispatch(claimRevision)) {
+        return;
+    }
+    if (Loop::now() >= std::min(giveUpAt, m_deadline)) {
+        noEndpoint();
+        return;
+    }
+    const std::weak_ptr<OnceCall> self = weak();
+    m_services.core.timers().subscribeOnce(noEndpointPause, [self, claimRevision, giveUpAt](TimePoint) {
+        const std::shared_ptr<OnceCall> call = self.lock();
+        if (call != nullptr) {
+            call->dispatchOrWait(claimRevision, giveUpAt);
+        }
+    });
+}
+
+void OnceCall::noEndpoint()
+{
+    if (m_flow == nullptr) {
+        fail(ErrorKind::NoEndpoint);
+        return;
+    }
+    act(m_flow->dispatchRefused(m_attempt, ErrorKind::NoEndpoint, Loop::now()));
+}
+
+void OnceCall::refused(AttemptId attempt, ErrorKind kind)
+{
+    if (isFinished() || attempt != m_attempt) {
+        return;
+    }
+    --m_unsettledAttempts;
+    record(std::string("refused by ") + m_endpoint + ": " + errorAnswer(kind).name);
+    if (m_flow != nullptr) {
+        act(m_flow->dispatchRefused(attempt, kind, Loop::now()));
+        return;
+    }
+    const bool canRetry = errorAnswer(kind).isRetryable && m_attempts < m_services.config.state().defaults().maxAttempts;
+    if (canRetry && m_services.retries.takeRetry()) {
+        dispatchUnclaimed();
+        return;
+    }
+    fail(kind);
+}
+
+void OnceCall::delta(const wire::StreamDelta &delta)
+{
+    const AttemptId attempt{delta.attempt.incarnation, delta.attempt.counter};
+    if (!isFinished() && attempt == m_attempt && delta.index == m_nextIndex) {
+        m_answer += delta.data;
+        ++m_nextIndex;
+    }
+}
+
+void OnceCall::ended(const wire::StreamEnd &end)
+{
+    const AttemptId attempt{end.attempt.incarnation, end.attempt.counter};
+    if (isFinished() || attempt != m_attempt) {
+        return;
+    }
+    if (!end.errorKind.empty() || end.count != m_nextIndex) {
+        linkLost();
+        return;
+    }
+    if (m_flow != nullptr) {
+        m_flow->answered(attempt);
+    }
+    m_services.server.respond(m_exchange, end.status, end.contentType, m_answer);
+    m_services.core.metrics().count("completed");
+    record("complete");
+    finish();
+}
+
+void OnceCall::linkLost()
+{
+    if (isFinished() || !m_isDispatched) {
+        return;
+    }
+    m_isDispatched = false;
+    m_services.probes.noteFailure(m_endpoint);
+    record("lost contact with " + m_endpoint);
+    if (m_flow != nullptr) {
+        act(m_flow->dispatchLost(m_attempt, Loop::now()));
+        return;
+    }
+    if (m_canRepeat && m_attempts < m_services.config.state().defaults().maxAttempts && m_services.retries.takeRetry()) {
+        dispatchUnclaimed();
+        return;
+    }
+    fail(ErrorKind::OutcomeUnknown);
+}
+
+void OnceCall::deadlinePassed()
+{
+    if (m_flow == nullptr) {
+        fail(m_isDispatched ? ErrorKind::OutcomeUnknown : ErrorKind::DeadlinePassed);
+        return;
+    }
+    if (m_isDispatched) {
+        // Whether it ran is settled in the table.
+        linkLost();
+    }
+}
+
+}
--- /dev/null
+++ b/main/probeservice.cpp
@@ -0,0 +1,143 @@
+#include "main/probeservice.h"
+
+#include "core/hash.h"
+
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+// An answer that takes longer says by that alone that the endpoint is a poor choice.
+constexpr Duration probeTimeout = std::chrono::milliseconds(15);
+constexpr Duration failureMemory = std::chrono::seconds(1);
+
+}
+
+ProbeService::ProbeService(DaemonCore &core, PeerLinks &links, ConfigService &config, std::unique_ptr<RoutingStrategy> strategy)
+    : m_core(core)
+    , m_links(links)
+    , m_config(config)
+    , m_strategy(std::move(strategy))
+    , m_random(static_cast<std::uint64_t>(core.incarnation()))
+{
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
+}
+
+void ProbeService::handle(const MessageOrigin &origin, const wire::Body &body)
+{
+    if (body.__isset.probeAnswer) {
+        take(origin, body.probeAnswer);
+    }
+}
+
+void ProbeService::place(const Question &question, PlaceHandler handler)
+{
+    Round round;
+    round.state = m_config.sharedState();
+    round.request.affinity = affinityHash(question.chain);
+    round.request.promptTokens = question.chain.promptTokens;
+    round.wantedWeights = question.weights;
+    round.handler = std::move(handler);
+    for (const Endpoint *endpoint : round.state->endpointsOfPool(question.pool)) {
+        EndpointView view;
+        view.idHash = hashBytes(endpoint->id, 0);
+        view.reportedTokens = m_known[endpoint->id].tokens;
+        const bool hasWeights = question.weights.empty() || endpoint->weights == question.weights;
+        view.canTakeWork = hasWeights && question.excluded.count(endpoint->id) == 0 && !hasFailedLately(endpoint->id);
+        round.endpoints.push_back(endpoint);
+        round.views.push_back(view);
+    }
+    round.candidates = m_strategy->candidates(round.request, round.views, m_random);
+    const std::int64_t id = m_core.nextId().counter;
+    wire::Probe probe;
+    probe.__set_probeId(id);
+    probe.__set_account(question.account);
+    probe.__set_blocks(std::vector<std::int64_t>(question.chain.blocks.begin(), question.chain.blocks.end()));
+    wire::Body body;
+    body.__set_probe(probe);
+    for (const std::size_t candidate : round.candidates) {
+        m_links.sendTo(round.endpoints[candidate]->address, body);
+    }
+    const bool needsAnswers = !round.candidates.empty();
+    m_rounds[id] = std::move(round);
+    if (!needsAnswers) {
+        finish(id);
+        return;
+    }
+    m_rounds[id].timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) {
+        finish(id);
+    });
+}
+
+void ProbeService::take(const MessageOrigin &origin, const wire::ProbeAnswer &answer)
+{
+    const auto found = m_rounds.find(answer.probeId);
+    if (found == m_rounds.end()) {
+        return;
+    }
+    Round &round = found->second;
+    for (const std::size_t candidate : round.candidates) {
+        if (round.endpoints[candidate]->id != origin.sender) {
+            continue;
+        }
+        ProbeResult result;
+        result.endpoint = candidate;
+        result.queuedTokens = answer.queuedTokens;
+        result.prefillTokensPerSecond = static_cast<double>(answer.prefillTokensPerSecond);
+        const std::int64_t pieceTokens = static_cast<std::int64_t>(static_cast<double>(m_core.settings().pieceBytes) / m_core.settings().bytesPerToken);
+        result.cachedTokens = answer.cachedBlocks * pieceTokens;
+        const bool hasWeights = round.wantedWeights.empty() || round.wantedWeights == answer.weights;
+        result.canTakeWork = !answer.isLeaving && hasWeights;
+        round.results.push_back(result);
+        round.answers.push_back(answer);
+        m_known[origin.sender].tokens = answer.queuedTokens;
+    }
+    if (round.results.size() == round.candidates.size()) {
+        finish(answer.probeId);
+    }
+}
+
+void ProbeService::finish(std::int64_t id)
+{
+    const auto found = m_rounds.find(id);
+    if (found == m_rounds.end()) {
+        return;
+    }
+    const Round round = std::move(found->second);
+    m_rounds.erase(found);
+    m_core.timers().unsubscribe(round.timer);
+    const std::optional<std::size_t> chosen = m_strategy->choose(round.request, round.views, round.candidates, round.results);
+    if (!chosen.has_value()) {
+        round.handler(std::nullopt);
+        return;
+    }
+    Placement placement;
+    placement.endpoint = round.endpoints[*chosen]->id;
+    placement.address = round.endpoints[*chosen]->address;
+    placement.weights = round.endpoints[*chosen]->weights;
+    for (std::size_t i = 0; i < round.results.size(); ++i) {
+        if (round.results[i].endpoint == *chosen) {
+            placement.engineIncarnation = round.answers[i].engineIncarnation;
+            placement.weights = round.answers[i].weights;
+        }
+    }
+    round.handler(placement);
+}
+
+void ProbeService::noteFailure(const std::string &endpoint)
+{
+    m_known[endpoint].failedAt = Loop::now();
+}
+
+bool ProbeService::hasFailedLately(const std::string &endpoint) const
+{
+    const auto found = m_known.find(endpoint);
+    return found != m_known.end() && found->second.failedAt != timeNever && Loop::now() - found->second.failedAt < failureMemory;
+}
+
+}
--- /dev/null
+++ b/main/servicejob.cpp
@@ -0,0 +1,131 @@
+#include "main/servicejob.h"
+
+#include "drivers/claimrowjson.h"
+
+#include <utility>
+#include <variant>
+
+namespace citronspar
+{
+
+ServiceJob::ServiceJob(DaemonCore &core, PeerLinks &links, PeerNetwork::LinkId link, wire::Dispatch dispatch, SocketAddress service)
+    : EndpointJob(core, links, link, std::move(dispatch))
+    , m_service(std::move(service))
+{
+}
+
+void ServiceJob::start()
+{
+    if (m_dispatch.claimKey.empty()) {
+        handOver();
+        return;
+    }
+    const std::uint64_t digest = static_cast<std::uint64_t>(m_dispatch.requestDigest);
+    m_gate = std::make_unique<StartGate>(StartGate::Settings(), attempt(), digest, m_dispatch.claimRevision, m_core.nextId());
+    act(m_gate->start(Loop::now()));
+}
+
+void ServiceJob::act(const StartGate::Action &action)
+{
+    if (const StartGate::WriteRow *write = std::get_if<StartGate::WriteRow>(&action)) {
+        writeRow(*write);
+    } else if (const StartGate::ReadRow *read = std::get_if<StartGate::ReadRow>(&action)) {
+        readRow(*read);
+    } else if (std::holds_alternative<StartGate::HandOver>(action)) {
+        handOver();
+    } else if (const StartGate::Refuse *refuse = std::get_if<StartGate::Refuse>(&action)) {
+        sendRefusal(refuse->kind);
+        finish();
+    } else {
+        finishWithGate();
+    }
+}
+
+void ServiceJob::finishWithGate()
+{
+    if (m_gate != nullptr && m_gate->isFinished()) {
+        finish();
+    }
+}
+
+void ServiceJob::writeRow(const StartGate::WriteRow &write)
+{
+    const std::shared_ptr<ServiceJob> self = shared_from_this();
+    const TablePut put{m_dispatch.claimKey, write.expectedRevision, claimRowToJson(write.row)};
+    m_core.table().transact({put}, [self](const TableReply &reply) {
+        const StoredClaim current = reply.rows.empty() ? StoredClaim() : storedClaimFromRow(reply.rows.front());
+        self->act(self->m_gate->writeEnded(reply.outcome, current, Loop::now()));
+    });
+}
+
+void ServiceJob::readRow(const StartGate::ReadRow &read)
+{
+    const std::shared_ptr<ServiceJob> self = shared_from_this();
+    m_core.timers().subscribeOnce(read.pause, [self](TimePoint) {
+        self->m_core.table().read(self->m_dispatch.claimKey, [self](const std::optional<TableRow> &row) {
+            const std::optional<StoredClaim> stored =
+                row.has_value() ? std::optional<StoredClaim>(storedClaimFromRow(*row)) : std::optional<StoredClaim>();
+            self->act(self->m_gate->readEnded(stored, Loop::now()));
+        });
+    });
+}
+
+void ServiceJob::handOver()
+{
+    m_core.record("endpoint", "handed over", attempt().toString(), m_dispatch.account);
+    HttpClientRequest request;
+    request.target = m_service;
+    request.method = m_dispatch.method;
+    request.path = m_dispatch.path;
+    request.headers.emplace_back("content-type", "application/json");
+    request.headers.emplace_back("x-attempt", attempt().toString());
+    request.body = m_dispatch.body;
+    const std::shared_ptr<ServiceJob> self = shared_from_this();
+    HttpClient::Handlers handlers;
+    handlers.onHead = [self](int status, const std::string &contentType) {
+        self->m_status = status;
+        self->m_contentType = contentType;
+    };
+    handlers.onData = [self](const std::string &data) {
+        self->m_answer += data;
+    };
+    handlers.onEnd = [self](HttpEnd end) {
+        self->serviceEnded(end);
+    };
+    m_call = m_core.http().send(std::move(request), std::move(handlers));
+}
+
+void ServiceJob::serviceEnded(HttpEnd end)
+{
+    if (end == HttpEnd::NotSent) {
+        if (m_gate != nullptr) {
+            act(m_gate->workNotSent(Loop::now()));
+        } else {
+            sendRefusal(ErrorKind::NoEndpoint);
+            finish();
+        }
+        return;
+    }
+    if (end == HttpEnd::Broken) {
+        if (m_gate != nullptr) {
+            m_gate->workLost();
+        }
+        sendEnd(0, errorAnswer(ErrorKind::OutcomeUnknown).name, 0, std::string());
+        finish();
+        return;
+    }
+    sendDelta(0, m_answer);
+    sendEnd(1, std::string(), m_status, m_contentType);
+    if (m_gate == nullptr) {
+        finish();
+        return;
+    }
+    act(m_gate->workAnswered(m_status, m_contentType, m_answer, Loop::now()));
+}
+
+void ServiceJob::cancel()
+{
+    // Work that may not be repeated runs to its end, so that its answer can be stored.
+}
+
+}
--- /dev/null
+++ b/main/servicejob.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "main/endpointjob.h"
+#include "servers/startgate.h"
+
+#include <memory>
+#include <optional>
+
+namespace citronspar
+{
+
+/** Hands one call to the plain service; with a claim, at most once over all attempts. */
+class ServiceJob : public EndpointJob, public std::enable_shared_from_this<ServiceJob>
+{
+private:
+    SocketAddress m_service;
+    std::unique_ptr<StartGate> m_gate;
+    int m_status = 0;
+    std::string m_contentType;
+    std::string m_answer;
+
+    void act(const StartGate::Action &action);
+    void writeRow(const StartGate::WriteRow &write);
+    void readRow(const StartGate::ReadRow &read);
+    void handOver();
+    void serviceEnded(HttpEnd end);
+    void finishWithGate();
+
+public:
+    ServiceJob(DaemonCore &core, PeerLinks &links, PeerNetwork::LinkId link, wire::Dispatch dispatch, SocketAddress service);
+
+    void start() override;
+    void cancel() override;
+};
+
+}
--- /dev/null
+++ b/main/settings.cpp
@@ -0,0 +1,131 @@
+#include "main/settings.h"
+
+#include "core/schemacheck.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace citronspar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+const char *const schemaText = R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["role", "daemon", "zone", "peerListen", "table", "fleetSecret"],
+  "properties": {
+    "role": {"enum": ["entry", "endpoint"]},
+    "daemon": {"type": "string", "minLength": 1},
+    "zone": {"type": "string", "minLength": 1},
+    "httpListen": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "peerListen": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "table": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "seeds": {"type": "array", "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"}},
+    "fleetSecret": {"type": "string", "minLength": 16},
+    "operatorKeySha256": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+    "logLayout": {"enum": ["text", "json"]},
+    "logLevel": {"enum": ["TRACE", "DEBUG", "INFO", "WARN", "ERROR"]},
+    "strategy": {"type": "string"},
+    "maxBodyBytes": {"type": "integer", "minimum": 1024},
+    "pieceBytes": {"type": "integer", "minimum": 16},
+    "bytesPerToken": {"type": "number", "minimum": 0.1},
+    "engine": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "service": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "endpoint": {"type": "string", "minLength": 1},
+    "maxRunning": {"type": "integer", "minimum": 1},
+    "prefillTokensPerSecond": {"type": "number", "minimum": 1}
+  }
+})";
+
+constexpr std::size_t defaultMaxBodyBytes = 4U * 1024 * 1024;
+constexpr std::size_t defaultPieceBytes = 16U * 1024;
+constexpr double defaultBytesPerToken = 4;
+constexpr std::size_t defaultMaxRunning = 64;
+constexpr double defaultPrefillTokensPerSecond = 20000;
+
+Settings fromJson(const json &document)
+{
+    Settings settings;
+    settings.role = document.at("role") == "entry" ? Settings::Role::Entry : Settings::Role::Endpoint;
+    settings.daemon = document.at("daemon").get<std::string>();
+    settings.zone = document.at("zone").get<std::string>();
+    settings.httpListen = document.value("httpListen", std::string());
+    settings.peerListen = document.at("peerListen").get<std::string>();
+    settings.table = document.at("table").get<std::string>();
+    settings.seeds = document.value("seeds", std::vector<std::string>());
+    settings.fleetSecret = document.at("fleetSecret").get<std::string>();
+    settings.operatorKeySha256 = document.value("operatorKeySha256", std::string());
+    settings.logLayout = document.value("logLayout", settings.logLayout);
+    settings.logLevel = document.value("logLevel", settings.logLevel);
+    settings.strategy = document.value("strategy", std::string());
+    settings.maxBodyBytes = document.value("maxBodyBytes", defaultMaxBodyBytes);
+    settings.pieceBytes = document.value("pieceBytes", defaultPieceBytes);
+    settings.bytesPerToken = document.value("bytesPerToken", defaultBytesPerToken);
+    settings.engine = document.value("engine", std::string());
+    settings.service = document.value("service", std::string());
+    settings.endpoint = document.value("endpoint", std::string());
+    settings.maxRunning = document.value("maxRunning", defaultMaxRunning);
+    settings.prefillTokensPerSecond = document.value("prefillTokensPerSecond", defaultPrefillTokensPerSecond);
+    return settings;
+}
+
+/** Rules over several settings, which the schema can't express. */
+std::optional<std::string> findRoleError(const Settings &settings)
+{
+    if (settings.role == Settings::Role::Entry) {
+        return settings.httpListen.empty() ? std::optional<std::string>("<root>: an entry daemon needs httpListen") : std::nullopt;
+    }
+    if (settings.endpoint.empty()) {
+        return "<root>: an endpoint daemon needs endpoint";
+    }
+    if (settings.engine.empty() == settings.service.empty()) {
+        return "<root>: an endpoint daemon needs either engine or service";
+    }
+    return std::nullopt;
+}
+
+}
+
+std::optional<Settings> SettingsReader::read(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        m_lastReason = path + ": the file can't be opened";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    json document;
+    try {
+        document = json::parse(text.str());
+    } catch (const json::parse_error &error) {
+        m_lastReason = path + ": not JSON: " + error.what();
+        return std::nullopt;
+    }
+    static const json schema = json::parse(schemaText);
+    const std::optional<std::string> schemaError = findSchemaError(schema, document);
+    if (schemaError.has_value()) {
+        m_lastReason = path + ": " + *schemaError;
+        return std::nullopt;
+    }
+    const Settings settings = fromJson(document);
+    const std::optional<std::string> roleError = findRoleError(settings);
+    if (roleError.has_value()) {
+        m_lastReason = path + ": " + *roleError;
+        return std::nullopt;
+    }
+    return settings;
+}
+
+const std::string &SettingsReader::lastReason() const
+{
+    return m_lastReason;
+}
+
+}
--- /dev/null
+++ b/misc/fleet.sh
@@ -0,0 +1,138 @@
+# Functions that start a small fleet on loopback. Sourced by the demo and the process tests.
+# Needs: bin (folder with the programs), dir (scratch folder).
+
+base=${CITRONSPAR_BASE_PORT:-18000}
+operator_key=operator-key-of-the-demo
+secret=fleet-secret-of-the-demo
+pids=()
+declare -A pid_of
+
+port() { echo $((base + $1)); }
+addr() { echo "127.0.0.1:$(port "$1")"; }
+sha() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+
+# launch NAME PROGRAM ARGS...: starts a process whose output goes to a log of that name.
+launch() {
+    local name=$1
+    shift
+    "$@" >>"$dir/$name.log" 2>&1 &
+    pid_of[$name]=$!
+    pids+=($!)
+}
+
+stop_fleet() {
+    for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+    wait 2>/dev/null
+    pids=()
+}
+
+# entry NAME NUMBER; ports: HTTP 10+N, peers 20+N.
+entry() {
+    cat >"$dir/$1.json" <<EOF
+{"role": "entry", "daemon": "$1", "zone": "zone-$2", "httpListen": "$(addr $((10 + $2)))", "peerListen": "$(addr $((20 + $2)))",
+ "table": "$(addr 1)", "fleetSecret": "$secret", "operatorKeySha256": "$(sha "$operator_key")", "pieceBytes": 256,
+ "seeds": ["$(addr 21)", "$(addr 22)", "$(addr 23)"]}
+EOF
+    launch "$1" "$bin/citronspard" --settings "$dir/$1.json"
+}
+
+# endpoint NAME NUMBER KIND ADDRESS; KIND is engine or service; peer port: 30+N.
+endpoint() {
+    cat >"$dir/$1.json" <<EOF
+{"role": "endpoint", "daemon": "$1", "endpoint": "$1", "zone": "zone-$2", "peerListen": "$(addr $((30 + $2)))", "table": "$(addr 1)",
+ "fleetSecret": "$secret", "pieceBytes": 256, "$3": "$4", "seeds": ["$(addr 21)", "$(addr 22)", "$(addr 23)"]}
+EOF
+    launch "$1" "$bin/citronspard" --settings "$dir/$1.json"
+}
+
+engine() { launch "$1" "$bin/fakeengine" "$(addr $((40 + $2)))" weights-1; }
+
+start_fleet() {
+    launch platform "$bin/fakeplatform" "$(addr 1)"
+    launch service "$bin/fakeservice" "$(addr 2)"
+    for n in 1 2 3; do engine "engine-$n" $n; done
+    for n in 1 2 3; do entry "entry-$n" $n; done
+    for n in 1 2 3; do endpoint "model-$n" $n engine "$(addr $((40 + n)))"; done
+    for n in 4 5; do endpoint "orders-$n" $n service "$(addr 2)"; done
+    printf %s "$operator_key" >"$dir/operator.key"
+    cat >"$dir/fleet.json" <<EOF
+{"defaults": {"deadlineMilliseconds": 15000, "maxOutputTokens": 2048},
+ "daemons": {"entry-1": "$(addr 21)", "entry-2": "$(addr 22)", "entry-3": "$(addr 23)"},
+ "roster": ["entry-1", "entry-2", "entry-3"],
+ "accounts": {"mill-a": {"tokensPerSecond": 100000, "burstTokens": 1000000}, "mill-b": {"tokensPerSecond": 10, "burstTokens": 300}},
+ "keys": {"key-a": {"account": "mill-a", "sha256": "$(sha sk-alpha)"}, "key-b": {"account": "mill-b", "sha256": "$(sha sk-beta)"},
+          "key-old": {"account": "mill-a", "sha256": "$(sha sk-old)"}},
+ "routes": {"/v1/chat/completions": {"kind": "model", "pool": "models"}, "/v1/completions": {"kind": "model", "pool": "models"},
+            "/work-orders": {"kind": "once", "pool": "orders"}},
+ "endpoints": {
+   "model-1": {"address": "$(addr 31)", "pool": "models", "zone": "zone-1", "weights": "weights-1"},
+   "model-2": {"address": "$(addr 32)", "pool": "models", "zone": "zone-2", "weights": "weights-1"},
+   "model-3": {"address": "$(addr 33)", "pool": "models", "zone": "zone-3", "weights": "weights-1"},
+   "orders-4": {"address": "$(addr 34)", "pool": "orders", "zone": "zone-1"},
+   "orders-5": {"address": "$(addr 35)", "pool": "orders", "zone": "zone-2"}},
+ "holders": {"s0": {"daemon": "entry-1", "epoch": 1}, "s1": {"daemon": "entry-2", "epoch": 1}}}
+EOF
+    wait_until 10 operator 1 status
+    operator 1 config set "$dir/fleet.json" >/dev/null || return 1
+    wait_until 20 fleet_ready
+}
+
+# operator ENTRY COMMAND...: runs the operators' client against one entry daemon.
+operator() {
+    local n=$1
+    shift
+    "$bin/citronspar" --daemon "$(addr $((10 + n)))" --key-file "$dir/operator.key" "$@" 2>>"$dir/operator.log"
+}
+
+fleet_ready() {
+    local n
+    for n in 1 2 3; do
+        operator "$n" --json status 2>/dev/null | grep -q '"limitsReady": true' || return 1
+        operator "$n" --json status 2>/dev/null | grep -q '"isFresh": true' || return 1
+        operator "$n" --json status 2>/dev/null | grep -q '"endpoints": 5' || return 1
+    done
+    chat 1 sk-alpha 4 warm-up 2>/dev/null | grep -q DONE
+}
+
+# wait_until SECONDS COMMAND...: repeats the command until it succeeds.
+wait_until() {
+    local tries=$(($1 * 10)) i
+    shift
+    for ((i = 0; i < tries; i++)); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    return 1
+}
+
+# chat ENTRY KEY TOKENS TEXT: a streamed chat request.
+chat() {
+    curl -sN --max-time 30 "http://$(addr $((10 + $1)))/v1/chat/completions" -H "authorization: Bearer $2" -H 'content-type: application/json' \
+        -d "{\"model\": \"m\", \"stream\": true, \"max_tokens\": $3, \"messages\": [{\"role\": \"system\", \"content\": \"You read shift logs.\"}, {\"role\": \"user\", \"content\": \"$4\"}]}"
+}
+
+# order ENTRY IDEMPOTENCY-KEY BODY [KEY]: files a work order.
+order() {
+    curl -s --max-time 30 "http://$(addr $((10 + $1)))/work-orders" -H "authorization: Bearer ${4:-sk-alpha}" -H 'content-type: application/json' \
+        -H "idempotency-key: $2" -d "$3"
+}
+
+# stat NUMBER FIELD: a figure of a stand-in.
+stat() { curl -s --max-time 5 "http://$(addr "$1")/stats" | grep -o "\"$2\":[a-z0-9]*" | cut -d: -f2; }
+
+# fault NUMBER JSON: sets a fault of a stand-in.
+fault() { curl -s --max-time 5 "http://$(addr "$1")/fault" -d "$2" >/dev/null; }
+
+# content: the texts of the deltas on standard input, joined.
+content() { grep -o '"content":"[^"]*"' | cut -d'"' -f4 | tr -d '\n'; }
+
+failures=0
+# expect NAME COMMAND...: prints and counts whether the command succeeds.
+expect() {
+    local name=$1
+    shift
+    if "$@"; then echo "ok: $name"; else
+        echo "FAILED: $name"
+        failures=$((failures + 1))
+    fi
+}
--- /dev/null
+++ b/servers/blockindex.cpp
@@ -0,0 +1,68 @@
+#include "servers/blockindex.h"
+
+namespace citronspar
+{
+
+void BlockIndex::reset(std::int64_t incarnation, std::int64_t nextSequence)
+{
+    m_incarnation = incarnation;
+    m_nextSequence = nextSequence;
+    m_blocks.clear();
+}
+
+bool BlockIndex::admit(std::int64_t incarnation, std::int64_t sequence)
+{
+    if (incarnation != m_incarnation || sequence < m_nextSequence) {
+        return false;
+    }
+    if (sequence > m_nextSequence) {
+        // A lost event may have been an eviction, so nothing that is known can be relied on.
+        m_blocks.clear();
+        ++m_gaps;
+    }
+    m_nextSequence = sequence + 1;
+    return true;
+}
+
+void BlockIndex::stored(std::int64_t incarnation, std::int64_t sequence, const std::vector<std::uint64_t> &blocks)
+{
+    if (admit(incarnation, sequence)) {
+        m_blocks.insert(blocks.begin(), blocks.end());
+    }
+}
+
+void BlockIndex::removed(std::int64_t incarnation, std::int64_t sequence, const std::vector<std::uint64_t> &blocks)
+{
+    if (!admit(incarnation, sequence)) {
+        return;
+    }
+    for (const std::uint64_t block : blocks) {
+        m_blocks.erase(block);
+    }
+}
+
+std::size_t BlockIndex::cachedPrefix(const std::vector<std::uint64_t> &chain) const
+{
+    std::size_t count = 0;
+    while (count < chain.size() && m_blocks.count(chain[count]) > 0) {
+        ++count;
+    }
+    return count;
+}
+
+std::int64_t BlockIndex::incarnation() const
+{
+    return m_incarnation;
+}
+
+std::size_t BlockIndex::size() const
+{
+    return m_blocks.size();
+}
+
+std::uint64_t BlockIndex::gaps() const
+{
+    return m_gaps;
+}
+
+}
--- /dev/null
+++ b/servers/dispatchgate.cpp
@@ -0,0 +1,63 @@
+#include "servers/dispatchgate.h"
+
+namespace citronspar
+{
+
+namespace
+{
+
+std::optional<ErrorKind> checkKey(const DispatchTerms &terms, const FleetState &state)
+{
+    if (terms.keyId.empty()) {
+        return std::nullopt;
+    }
+    const Key *key = state.findKeyById(terms.keyId);
+    if (key == nullptr || key->isWithdrawn || key->account != terms.account) {
+        return ErrorKind::KeyRejected;
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorKind> checkEngine(const DispatchTerms &terms, const EndpointCondition &condition)
+{
+    if (!condition.isEngineUp) {
+        return ErrorKind::NoEndpoint;
+    }
+    // An incarnation of 0 says that the sender knew none, so nothing of it was relied on.
+    if (terms.engineIncarnation != 0 && terms.engineIncarnation != condition.engineIncarnation) {
+        return ErrorKind::EngineRestarted;
+    }
+    if (terms.weights != condition.weights) {
+        return ErrorKind::WeightsChanged;
+    }
+    return std::nullopt;
+}
+
+}
+
+std::optional<ErrorKind> checkDispatch(const DispatchTerms &terms, const EndpointCondition &condition, const FleetState &state)
+{
+    // A sender with a newer version may rely on a change that is not known here.
+    if (!condition.isFresh || terms.configVersion > state.version()) {
+        return ErrorKind::NotFresh;
+    }
+    if (condition.isLeaving) {
+        return ErrorKind::EndpointLeaving;
+    }
+    if (terms.timeLeft <= Duration::zero()) {
+        return ErrorKind::DeadlinePassed;
+    }
+    if (condition.isBlocked) {
+        return ErrorKind::RequestBlocked;
+    }
+    if (condition.queuedTokens > state.defaults().maxQueuedTokens) {
+        return ErrorKind::Overloaded;
+    }
+    const std::optional<ErrorKind> keyError = checkKey(terms, state);
+    if (keyError.has_value() || !condition.hasEngine) {
+        return keyError;
+    }
+    return checkEngine(terms, condition);
+}
+
+}
--- /dev/null
+++ b/servers/retrybudget.cpp
@@ -0,0 +1,29 @@
+#include "servers/retrybudget.h"
+
+#include <algorithm>
+
+namespace citronspar
+{
+
+RetryBudget::RetryBudget(double share, double maximum)
+    : m_share(share)
+    , m_maximum(maximum)
+    , m_tokens(maximum)
+{
+}
+
+void RetryBudget::addRequest()
+{
+    m_tokens = std::min(m_maximum, m_tokens + m_share);
+}
+
+bool RetryBudget::takeRetry()
+{
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/servers/startgate.cpp
@@ -0,0 +1,130 @@
+#include "servers/startgate.h"
+
+namespace citronspar
+{
+
+StartGate::StartGate(Settings settings, AttemptId attempt, std::uint64_t digest, std::int64_t claimRevision, AttemptId startMark)
+    : m_settings(settings)
+    , m_revision(claimRevision)
+{
+    m_row.attempt = attempt;
+    m_row.digest = digest;
+    m_row.startMark = startMark;
+}
+
+StartGate::Action StartGate::write(ClaimState state)
+{
+    m_row.state = state;
+    return WriteRow{m_revision, m_row};
+}
+
+StartGate::Action StartGate::refuse(ErrorKind kind)
+{
+    m_step = Step::Finished;
+    return Refuse{kind};
+}
+
+StartGate::Action StartGate::start(TimePoint now)
+{
+    m_patienceEnd = now + m_settings.startPatience;
+    return write(ClaimState::Started);
+}
+
+StartGate::Action StartGate::writeEnded(TableOutcome outcome, const StoredClaim &current, TimePoint now)
+{
+    if (outcome == TableOutcome::Unknown) {
+        return ReadRow{m_settings.pollInterval};
+    }
+    if (outcome == TableOutcome::Conflict) {
+        return m_step == Step::Starting ? examineStarting(current, now) : examineStoring(current, now);
+    }
+    m_revision = current.revision;
+    if (m_step == Step::Starting) {
+        m_step = Step::Running;
+        return HandOver{};
+    }
+    if (m_row.state == ClaimState::Abandoned) {
+        return refuse(ErrorKind::NoEndpoint);
+    }
+    m_step = Step::Finished;
+    return Wait{};
+}
+
+StartGate::Action StartGate::readEnded(const std::optional<StoredClaim> &current, TimePoint now)
+{
+    if (current.has_value()) {
+        return m_step == Step::Starting ? examineStarting(*current, now) : examineStoring(*current, now);
+    }
+    if (now < m_patienceEnd) {
+        return ReadRow{m_settings.pollInterval};
+    }
+    if (m_step == Step::Starting) {
+        // The write may have taken effect, but the work was not handed over.
+        return refuse(ErrorKind::TableUnavailable);
+    }
+    m_step = Step::Finished;
+    return Wait{};
+}
+
+StartGate::Action StartGate::examineStarting(const StoredClaim &stored, TimePoint now)
+{
+    const bool isOurs = stored.revision != 0 && stored.row.attempt == m_row.attempt;
+    if (isOurs && stored.row.state == ClaimState::Started && stored.row.startMark == m_row.startMark) {
+        m_revision = stored.revision;
+        m_step = Step::Running;
+        return HandOver{};
+    }
+    if (isOurs && stored.row.state == ClaimState::Claimed && stored.revision == m_revision && now < m_patienceEnd) {
+        return write(ClaimState::Started);
+    }
+    return refuse(ErrorKind::AttemptAbandoned);
+}
+
+StartGate::Action StartGate::examineStoring(const StoredClaim &stored, TimePoint now)
+{
+    const bool isOurs = stored.revision != 0 && stored.row.attempt == m_row.attempt && stored.row.startMark == m_row.startMark;
+    if (isOurs && stored.row.state == ClaimState::Started && now < m_patienceEnd) {
+        m_revision = stored.revision;
+        return write(m_row.state);
+    }
+    if (isOurs && stored.row.state == ClaimState::Abandoned) {
+        return refuse(ErrorKind::NoEndpoint);
+    }
+    m_step = Step::Finished;
+    return Wait{};
+}
+
+StartGate::Action StartGate::workAnswered(int status, const std::string &contentType, const std::string &answer, TimePoint now)
+{
+    if (m_step != Step::Running) {
+        return Wait{};
+    }
+    m_step = Step::Storing;
+    m_patienceEnd = now + m_settings.storePatience;
+    m_row.status = status;
+    m_row.contentType = contentType;
+    m_row.answer = answer;
+    return write(ClaimState::Done);
+}
+
+StartGate::Action StartGate::workNotSent(TimePoint now)
+{
+    if (m_step != Step::Running) {
+        return Wait{};
+    }
+    m_step = Step::Storing;
+    m_patienceEnd = now + m_settings.storePatience;
+    return write(ClaimState::Abandoned);
+}
+
+void StartGate::workLost()
+{
+    m_step = Step::Finished;
+}
+
+bool StartGate::isFinished() const
+{
+    return m_step == Step::Finished;
+}
+
+}
--- /dev/null
+++ b/servers/streamassembler.cpp
@@ -0,0 +1,86 @@
+#include "servers/streamassembler.h"
+
+namespace citronspar
+{
+
+StreamAssembler::StreamAssembler(std::size_t maxEarly)
+    : m_maxEarly(maxEarly)
+{
+}
+
+void StreamAssembler::beginAttempt(AttemptId attempt)
+{
+    if (m_state == State::Complete) {
+        return;
+    }
+    m_attempt = attempt;
+    m_early.clear();
+    m_endCount = -1;
+    m_state = State::Open;
+}
+
+std::vector<std::string> StreamAssembler::takeContiguous()
+{
+    std::vector<std::string> ready;
+    while (!m_early.empty() && m_early.begin()->first == m_nextIndex) {
+        ready.push_back(m_early.begin()->second);
+        m_early.erase(m_early.begin());
+        ++m_nextIndex;
+    }
+    if (m_endCount >= 0 && m_nextIndex == m_endCount) {
+        m_state = State::Complete;
+    }
+    return ready;
+}
+
+std::vector<std::string> StreamAssembler::add(AttemptId attempt, std::int64_t index, const std::string &data)
+{
+    if (m_state != State::Open || attempt != m_attempt || index < m_nextIndex) {
+        return {};
+    }
+    m_early.emplace(index, data);
+    std::vector<std::string> ready = takeContiguous();
+    if (m_state == State::Open && m_early.size() > m_maxEarly) {
+        m_state = State::Broken;
+    }
+    return ready;
+}
+
+void StreamAssembler::end(AttemptId attempt, std::int64_t count)
+{
+    if (m_state != State::Open || attempt != m_attempt) {
+        return;
+    }
+    if (count < m_nextIndex) {
+        m_state = State::Broken;
+        return;
+    }
+    m_endCount = count;
+    if (m_nextIndex == count) {
+        m_state = State::Complete;
+    }
+}
+
+void StreamAssembler::fail(AttemptId attempt)
+{
+    if (m_state == State::Open && attempt == m_attempt) {
+        m_state = State::Broken;
+    }
+}
+
+StreamAssembler::State StreamAssembler::state() const
+{
+    return m_state;
+}
+
+std::int64_t StreamAssembler::nextIndex() const
+{
+    return m_nextIndex;
+}
+
+AttemptId StreamAssembler::attempt() const
+{
+    return m_attempt;
+}
+
+}
--- /dev/null
+++ b/servers/suspectlist.cpp
@@ -0,0 +1,58 @@
+#include "servers/suspectlist.h"
+
+#include <algorithm>
+
+namespace citronspar
+{
+
+SuspectList::SuspectList(int maxCrashes, Duration blockTime, std::size_t capacity)
+    : m_maxCrashes(maxCrashes)
+    , m_blockTime(blockTime)
+    , m_capacity(capacity)
+{
+}
+
+void SuspectList::expire(TimePoint now)
+{
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        it = now - it->second.lastCrash > m_blockTime ? m_suspects.erase(it) : std::next(it);
+    }
+    if (m_suspects.size() < m_capacity) {
+        return;
+    }
+    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &first, const auto &second) {
+        return first.second.lastCrash < second.second.lastCrash;
+    });
+    m_suspects.erase(oldest);
+}
+
+int SuspectList::addCrash(std::uint64_t digest, TimePoint now)
+{
+    expire(now);
+    Suspect &suspect = m_suspects[digest];
+    ++suspect.crashes;
+    suspect.lastCrash = now;
+    return suspect.crashes;
+}
+
+void SuspectList::learn(std::uint64_t digest, int crashes, TimePoint now)
+{
+    expire(now);
+    Suspect &suspect = m_suspects[digest];
+    suspect.crashes = std::max(suspect.crashes, crashes);
+    suspect.lastCrash = std::max(suspect.lastCrash, now);
+}
+
+bool SuspectList::isBlocked(std::uint64_t digest, TimePoint now) const
+{
+    const auto found = m_suspects.find(digest);
+    return found != m_suspects.end() && found->second.crashes >= m_maxCrashes && now - found->second.lastCrash <= m_blockTime;
+}
+
+bool SuspectList::isSuspect(std::uint64_t digest, TimePoint now) const
+{
+    const auto found = m_suspects.find(digest);
+    return found != m_suspects.end() && now - found->second.lastCrash <= m_blockTime;
+}
+
+}
