Run timers from the library's timer callback

A second fault of the same kind: one-shot timers counted from the last wake-up, not from now, so a 15 ms probe timeout could be over before it began. Ruled out: the table stand-in and the limits service (both idle in the trace). Change: the timer callback runs the timers itself; the timer service reads an injected clock.

--- a/core/timerservice.cpp
+++ b/core/timerservice.cpp
@@ -3,6 +3,11 @@
 namespace citronspar
 {
 
+TimerService::TimerService(Clock clock)
+    : m_clock(std::move(clock))
+{
+}
+
 TimerService::TimerId TimerService::add(TimePoint due, Duration period, Callback callback)
 {
     const TimerId id = ++m_lastId;
@@ -13,12 +18,12 @@
 
 TimerService::TimerId TimerService::subscribe(Duration period, Callback callback)
 {
-    return add(m_now + period, period, std::move(callback));
+    return add(m_clock() + period, period, std::move(callback));
 }
 
 TimerService::TimerId TimerService::subscribeOnce(Duration delay, Callback callback)
 {
-    return add(m_now + delay, Duration::zero(), std::move(callback));
+    return add(m_clock() + delay, Duration::zero(), std::move(callback));
 }
 
 void TimerService::unsubscribe(TimerId id)
@@ -45,9 +50,9 @@
     callback(now);
 }
 
-void TimerService::advance(TimePoint now)
+void TimerService::run()
 {
-    m_now = now;
+    const TimePoint now = m_clock();
     while (!m_queue.empty() && m_queue.begin()->first.first <= now) {
         const TimerId id = m_queue.begin()->second;
         m_queue.erase(m_queue.begin());
@@ -63,9 +68,4 @@
     return m_queue.begin()->first.first;
 }
 
-TimePoint TimerService::now() const
-{
-    return m_now;
-}
-
 }
--- a/core/timerservice.h
+++ b/core/timerservice.h
@@ -12,14 +12,15 @@
 {
 
 /**
- * Calls subscribers when their time has come. It reads no clock: the loop, or
- * a test, tells it the time.
+ * Calls subscribers when their time has come. The clock is handed in, so that
+ * tests can set the time.
  */
 class TimerService
 {
 public:
     using TimerId = std::uint64_t;
     using Callback = std::function<void(TimePoint now)>;
+    using Clock = std::function<TimePoint()>;
 
 private:
     struct Subscription
@@ -32,12 +33,14 @@
     std::map<TimerId, Subscription> m_subscriptions;
     std::map<std::pair<TimePoint, TimerId>, TimerId> m_queue;
     TimerId m_lastId = 0;
-    TimePoint m_now{};
+    Clock m_clock;
 
     TimerId add(TimePoint due, Duration period, Callback callback);
     void fire(TimerId id, TimePoint now);
 
 public:
+    explicit TimerService(Clock clock);
+
     /** Calls @p callback each @p period, for the first time one period from now. */
     TimerId subscribe(Duration period, Callback callback);
 
@@ -47,14 +50,11 @@
     /** Ends a subscription. An unknown id is ignored. */
     void unsubscribe(TimerId id);
 
-    /** Sets the time and calls all subscribers that are due. */
-    void advance(TimePoint now);
+    /** Calls all subscribers that are due. */
+    void run();
 
     /** The time of the next call; nothing when there is no subscriber. */
     std::optional<TimePoint> nextDue() const;
-
-    /** The time last passed to advance(). */
-    TimePoint now() const;
 };
 
 }
--- a/drivers/loop.cpp
+++ b/drivers/loop.cpp
@@ -14,21 +14,18 @@
 // A connection waits longer than any deadline; the parts have timers of their own.
 constexpr unsigned int libraryTimeoutSeconds = 300;
 
-void ignoreWakeUp(lws_sorted_usec_list_t *)
-{
-}
-
 }
 
 Loop::Loop()
+    : m_timers(now)
 {
+    m_wakeUp.loop = this;
     lws_set_log_level(LLL_ERR, nullptr);
     lws_context_creation_info info{};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
     info.timeout_secs = libraryTimeoutSeconds;
     m_context.reset(lws_create_context(&info));
-    m_timers.advance(now());
 }
 
 bool Loop::isOpen() const
@@ -41,16 +38,21 @@
     const TimePoint current = now();
     const TimePoint due = m_timers.nextDue().value_or(current + longestSleep);
     const Duration delay = std::min(std::max(due - current, Duration(1)), longestSleep);
-    lws_sul_schedule(m_context.get(), 0, &m_wakeUp, ignoreWakeUp, delay.count());
+    lws_sul_schedule(m_context.get(), 0, &m_wakeUp.entry, wakeUp, delay.count());
+}
+
+void Loop::wakeUp(lws_sorted_usec_list_t *entry)
+{
+    // The library may call this before it waits for sockets. The timers run
+    // here, as a wake-up that only ended the wait would be used up by then.
+    Loop *loop = reinterpret_cast<WakeUp *>(entry)->loop;
+    loop->m_timers.run();
+    loop->scheduleWakeUp();
 }
 
 void Loop::run()
 {
     while (!m_isStopped) {
-        m_timers.advance(now());
-        if (m_isStopped) {
-            break;
-        }
         scheduleWakeUp();
         if (lws_service(m_context.get(), 0) < 0) {
             break;
@@ -61,6 +63,7 @@
 void Loop::stop()
 {
     m_isStopped = true;
+    lws_cancel_service(m_context.get());
 }
 
 lws_context *Loop::context() const
--- a/drivers/loop.h
+++ b/drivers/loop.h
@@ -23,12 +23,20 @@
         }
     };
 
+    /** The library's timer comes first, so that its address is that of the whole. */
+    struct WakeUp
+    {
+        lws_sorted_usec_list_t entry{};
+        Loop *loop = nullptr;
+    };
+
     std::unique_ptr<lws_context, ContextDeleter> m_context;
     TimerService m_timers;
-    lws_sorted_usec_list_t m_wakeUp{};
+    WakeUp m_wakeUp;
     bool m_isStopped = false;
 
     void scheduleWakeUp();
+    static void wakeUp(lws_sorted_usec_list_t *entry);
 
 public:
     Loop();
