Prove at-most-once and freshness with seeded schedules

Cause: both rules were written down but not tried under faults. Found while writing the test: a member's confirmation from before its restart could complete a majority after the member had learnt an older version from the others.

--- a/servers/freshnessguard.cpp
+++ b/servers/freshnessguard.cpp
@@ -110,7 +110,7 @@
         return;
     }
     const std::optional<TimePoint> proof = rosterProof(false, m_startedAt);
-    m_hasLearnt = proof.has_value() && *proof >= m_startedAt + m_settings.confirmationAge;
+    m_hasLearnt = proof.has_value() && *proof >= m_startedAt + m_settings.learnDelay;
 }
 
 std::optional<TimePoint> FreshnessGuard::majorityProof(const std::vector<std::string> &members, bool countsSelf, TimePoint now) const
--- a/servers/freshnessguard.h
+++ b/servers/freshnessguard.h
@@ -30,8 +30,8 @@
  *
  * A restarted member has forgotten what it confirmed. It vouches for nothing
  * until it has learnt the newest version from the table, or from a majority
- * that does not count itself and was asked after Settings::confirmationAge
- * had passed since the start. Confirmations count towards acceptance for no
+ * that does not count itself and was asked after Settings::learnDelay had
+ * passed since the start. Confirmations count towards acceptance for no
  * longer than that, so a confirmation from before the restart can't complete
  * a majority after the member began to vouch again.
  */
@@ -41,7 +41,10 @@
     struct Settings
     {
         Duration maxAge = std::chrono::seconds(2);
+        /** How long a member's confirmation counts towards the acceptance of a version. */
         Duration confirmationAge = std::chrono::seconds(2);
+        /** How long after its start a member must ask before a majority can teach it; at least confirmationAge. */
+        Duration learnDelay = std::chrono::seconds(2);
     };
 
     using QuestionId = std::uint64_t;
--- /dev/null
+++ b/tests/fakes/schedule.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace citronspar
+{
+
+/** Virtual time with a seeded random source: runs events in the order of their times. */
+class Schedule
+{
+private:
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    TimePoint m_now{std::chrono::hours(1)};
+    std::mt19937_64 m_random;
+
+public:
+    explicit Schedule(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    TimePoint now() const
+    {
+        return m_now;
+    }
+
+    void after(Duration delay, std::function<void()> event)
+    {
+        m_events.emplace(m_now + delay, std::move(event));
+    }
+
+    /** Runs all events up to @p duration from now. */
+    void run(Duration duration)
+    {
+        const TimePoint end = m_now + duration;
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            const auto next = m_events.begin();
+            const std::function<void()> event = std::move(next->second);
+            m_now = next->first;
+            m_events.erase(next);
+            event();
+        }
+        m_now = end;
+    }
+
+    /** A number from @p low to @p high, both included. */
+    std::int64_t pick(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
+    }
+
+    Duration pickDuration(Duration low, Duration high)
+    {
+        return Duration(pick(low.count(), high.count()));
+    }
+
+    bool chance(double probability)
+    {
+        return std::bernoulli_distribution(probability)(m_random);
+    }
+};
+
+}
--- /dev/null
+++ b/tests/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
