--- a/main/probeservice.cpp
+++ b/main/probeservice.cpp
@@ -52,25 +52,34 @@
         round.endpoints.push_back(endpoint);
         round.views.push_back(view);
     }
-    round.candidates = m_strategy->candidates(round.request, round.views, m_random);
+    round.account = question.account;
+    round.blocks.assign(question.chain.blocks.begin(), question.chain.blocks.end());
     const std::int64_t id = m_core.nextId().counter;
+    m_rounds[id] = std::move(round);
+    probeNext(id);
+}
+
+void ProbeService::probeNext(std::int64_t id)
+{
+    Round &round = m_rounds.at(id);
+    m_core.timers().unsubscribe(round.timer);
+    const std::vector<std::size_t> next = m_strategy->nextProbes(round.request, round.views, round.probed, round.results, m_random);
+    if (next.empty()) {
+        finish(id);
+        return;
+    }
     wire::Probe probe;
     probe.__set_probeId(id);
-    probe.__set_account(question.account);
-    probe.__set_blocks(std::vector<std::int64_t>(question.chain.blocks.begin(), question.chain.blocks.end()));
+    probe.__set_account(round.account);
+    probe.__set_blocks(round.blocks);
     wire::Body body;
     body.__set_probe(probe);
-    for (const std::size_t candidate : round.candidates) {
-        m_links.sendTo(round.endpoints[candidate]->address, body);
-    }
-    const bool needsAnswers = !round.candidates.empty();
-    m_rounds[id] = std::move(round);
-    if (!needsAnswers) {
-        finish(id);
-        return;
+    for (const std::size_t endpoint : next) {
+        round.probed.push_back(endpoint);
+        m_links.sendTo(round.endpoints[endpoint]->address, body);
     }
-    m_rounds[id].timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) {
-        finish(id);
+    round.timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) {
+        probeNext(id);
     });
 }
 
@@ -81,7 +90,7 @@
         return;
     }
     Round &round = found->second;
-    for (const std::size_t candidate : round.candidates) {
+    for (const std::size_t candidate : round.probed) {
         if (round.endpoints[candidate]->id != origin.sender) {
             continue;
         }
@@ -97,8 +106,8 @@
         round.answers.push_back(answer);
         m_known[origin.sender].tokens = answer.queuedTokens;
     }
-    if (round.results.size() == round.candidates.size()) {
-        finish(answer.probeId);
+    if (round.results.size() == round.probed.size()) {
+        probeNext(answer.probeId);
     }
 }
 
@@ -111,7 +120,7 @@
     const Round round = std::move(found->second);
     m_rounds.erase(found);
     m_core.timers().unsubscribe(round.timer);
-    const std::optional<std::size_t> chosen = m_strategy->choose(round.request, round.views, round.candidates, round.results);
+    const std::optional<std::size_t> chosen = m_strategy->choose(round.request, round.views, round.results);
     if (!chosen.has_value()) {
         round.handler(std::nullopt);
         return;
--- a/main/probeservice.h
+++ b/main/probeservice.h
@@ -45,7 +45,9 @@
         RoutingRequest request;
         std::vector<const Endpoint *> endpoints;
         std::vector<EndpointView> views;
-        std::vector<std::size_t> candidates;
+        std::string account;
+        std::vector<std::int64_t> blocks;
+        std::vector<std::size_t> probed;
         std::vector<ProbeResult> results;
         std::vector<wire::ProbeAnswer> answers;
         std::string wantedWeights;
@@ -70,6 +72,7 @@
 
     void handle(const MessageOrigin &origin, const wire::Body &body);
     void take(const MessageOrigin &origin, const wire::ProbeAnswer &answer);
+    void probeNext(std::int64_t id);
     void finish(std::int64_t id);
 
 public:
--- a/servers/routingstrategy.cpp
+++ b/servers/routingstrategy.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
+#include <iterator>
+#include <unordered_map>
 
 namespace citronspar
 {
@@ -42,18 +45,37 @@
     return best;
 }
 
-/** The predicted time to the first token: what is queued, then the missing part of the prompt. */
-Duration predictedWait(const RoutingRequest &request, const ProbeResult &answer)
+/**
+ * The predicted time to the first token: what is queued, then the missing part of the prompt.
+ * @param recomputeWeight what the missing part counts for besides
+ */
+Duration predictedWait(const RoutingRequest &request, const ProbeResult &answer, double recomputeWeight)
 {
-    const std::int64_t missing = std::max<std::int64_t>(request.promptTokens - answer.cachedTokens, 0);
-    return fromSeconds(static_cast<double>(answer.queuedTokens + missing) / answer.prefillTokensPerSecond);
+    const double missing = static_cast<double>(std::max<std::int64_t>(request.promptTokens - answer.cachedTokens, 0));
+    const double tokens = static_cast<double>(answer.queuedTokens) + missing * (1 + recomputeWeight);
+    return fromSeconds(tokens / answer.prefillTokensPerSecond);
+}
+
+/** The answer with the least predicted wait among those that can take work. */
+std::optional<ProbeResult> bestAnswer(const RoutingRequest &request, const std::vector<ProbeResult> &answers, double recomputeWeight)
+{
+    std::optional<ProbeResult> best;
+    for (const ProbeResult &answer : answers) {
+        const bool isBetter =
+            !best.has_value() || predictedWait(request, answer, recomputeWeight) < predictedWait(request, *best, recomputeWeight);
+        if (answer.canTakeWork && isBetter) {
+            best = answer;
+        }
+    }
+    return best;
 }
 
 /** Strategies that decide by what the entry daemon knows, without probes. */
 class UnprobedStrategy : public RoutingStrategy
 {
 public:
-    std::vector<std::size_t> candidates(const RoutingRequest &, const std::vector<EndpointView> &, Random &) override
+    std::vector<std::size_t> nextProbes(const RoutingRequest &, const std::vector<EndpointView> &, const std::vector<std::size_t> &,
+                                        const std::vector<ProbeResult> &, Random &) override
     {
         return {};
     }
@@ -65,8 +87,7 @@
     std::size_t m_last = 0;
 
 public:
-    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints, const std::vector<std::size_t> &,
-                                      const std::vector<ProbeResult> &) override
+    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints, const std::vector<ProbeResult> &) override
     {
         for (std::size_t i = 0; i < endpoints.size(); ++i) {
             m_last = (m_last + 1) % endpoints.size();
@@ -81,8 +102,7 @@
 class LeastLoaded : public UnprobedStrategy
 {
 public:
-    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints, const std::vector<std::size_t> &,
-                                      const std::vector<ProbeResult> &) override
+    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints, const std::vector<ProbeResult> &) override
     {
         return leastLoaded(endpoints);
     }
@@ -92,7 +112,7 @@
 {
 public:
     std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
-                                      const std::vector<std::size_t> &, const std::vector<ProbeResult> &) override
+                                      const std::vector<ProbeResult> &) override
     {
         const std::vector<std::size_t> order = usableByHash(request, endpoints);
         return order.empty() ? std::nullopt : std::optional<std::size_t>(order.front());
@@ -111,7 +131,7 @@
     }
 
     std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
-                                      const std::vector<std::size_t> &, const std::vector<ProbeResult> &) override
+                                      const std::vector<ProbeResult> &) override
     {
         const std::vector<std::size_t> order = usableByHash(request, endpoints);
         if (order.empty()) {
@@ -131,10 +151,41 @@
     }
 };
 
+/**
+ * Probes the last placement of the same prefix and the first endpoints by
+ * hash. Only when all of these would keep the request waiting does it probe
+ * more: the next ones by hash and others at random.
+ */
 class HashProbe : public RoutingStrategy
 {
 private:
     RoutingSettings m_settings;
+    std::unordered_map<std::uint64_t, std::size_t> m_placements;
+    std::deque<std::uint64_t> m_placementOrder;
+
+    void remember(std::uint64_t affinity, std::size_t endpoint)
+    {
+        if (!m_placements.insert_or_assign(affinity, endpoint).second) {
+            return;
+        }
+        m_placementOrder.push_back(affinity);
+        if (m_placementOrder.size() > m_settings.rememberedPlacements) {
+            m_placements.erase(m_placementOrder.front());
+            m_placementOrder.pop_front();
+        }
+    }
+
+    /** The endpoints in the order in which they are probed. */
+    std::vector<std::size_t> probeOrder(const RoutingRequest &request, const std::vector<EndpointView> &endpoints) const
+    {
+        std::vector<std::size_t> order = usableByHash(request, endpoints);
+        const auto placement = m_placements.find(request.affinity);
+        const auto place = placement == m_placements.end() ? order.end() : std::find(order.begin(), order.end(), placement->second);
+        if (place != order.end()) {
+            std::rotate(order.begin(), place, std::next(place));
+        }
+        return order;
+    }
 
 public:
     explicit HashProbe(const RoutingSettings &settings)
@@ -142,39 +193,47 @@
     {
     }
 
-    std::vector<std::size_t> candidates(const RoutingRequest &request, const std::vector<EndpointView> &endpoints, Random &random) override
+    std::vector<std::size_t> nextProbes(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
+                                        const std::vector<std::size_t> &probed, const std::vector<ProbeResult> &answers,
+                                        Random &random) override
     {
-        std::vector<std::size_t> order = usableByHash(request, endpoints);
-        const std::size_t byHash = std::min(m_settings.hashCandidates, order.size());
-        for (std::size_t i = 0; i < m_settings.loadCandidates && byHash + i < order.size(); ++i) {
-            std::uniform_int_distribution<std::size_t> pick(byHash + i, order.size() - 1);
-            std::swap(order[byHash + i], order[pick(random)]);
+        std::vector<std::size_t> order = probeOrder(request, endpoints);
+        if (probed.empty()) {
+            order.resize(std::min(order.size(), m_settings.firstProbes));
+            return order;
         }
-        order.resize(std::min(order.size(), byHash + m_settings.loadCandidates));
-        return order;
+        const std::optional<ProbeResult> best = bestAnswer(request, answers, m_settings.recomputeWeight);
+        const bool isGoodEnough = best.has_value() && predictedWait(request, *best, 0) <= m_settings.probeMoreAbove;
+        if (isGoodEnough || answers.empty() || probed.size() > m_settings.firstProbes) {
+            return {};
+        }
+        std::vector<std::size_t> rest;
+        for (const std::size_t place : order) {
+            if (std::find(probed.begin(), probed.end(), place) == probed.end()) {
+                rest.push_back(place);
+            }
+        }
+        // The next one by hash may hold a copy; the others are drawn, so that idle endpoints are found.
+        if (rest.size() > 1) {
+            std::shuffle(std::next(rest.begin()), rest.end(), random);
+        }
+        rest.resize(std::min(rest.size(), m_settings.moreProbes));
+        return rest;
     }
 
     std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
-                                      const std::vector<std::size_t> &candidates, const std::vector<ProbeResult> &answers) override
+                                      const std::vector<ProbeResult> &answers) override
     {
-        std::optional<std::size_t> best;
-        Duration bestWait = Duration::max();
-        for (const ProbeResult &answer : answers) {
-            if (!answer.canTakeWork) {
-                continue;
-            }
-            const auto place = std::find(candidates.begin(), candidates.end(), answer.endpoint);
-            const Duration wait = predictedWait(request, answer) + m_settings.hashBias * (place - candidates.begin());
-            if (wait < bestWait) {
-                best = answer.endpoint;
-                bestWait = wait;
-            }
+        const std::optional<ProbeResult> best = bestAnswer(request, answers, m_settings.recomputeWeight);
+        if (best.has_value()) {
+            remember(request.affinity, best->endpoint);
+            return best->endpoint;
         }
-        if (best.has_value() || !answers.empty()) {
-            return best;
+        if (!answers.empty()) {
+            return std::nullopt;
         }
-        // No answer in time: the hash order is the best guess.
-        const std::vector<std::size_t> order = usableByHash(request, endpoints);
+        // No answer in time: the order is the best guess.
+        const std::vector<std::size_t> order = probeOrder(request, endpoints);
         return order.empty() ? std::nullopt : std::optional<std::size_t>(order.front());
     }
 };
@@ -183,24 +242,17 @@
 class GreedyFull : public RoutingStrategy
 {
 public:
-    std::vector<std::size_t> candidates(const RoutingRequest &request, const std::vector<EndpointView> &endpoints, Random &) override
+    std::vector<std::size_t> nextProbes(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
+                                        const std::vector<std::size_t> &probed, const std::vector<ProbeResult> &, Random &) override
     {
-        return usableByHash(request, endpoints);
+        return probed.empty() ? usableByHash(request, endpoints) : std::vector<std::size_t>();
     }
 
-    std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &, const std::vector<std::size_t> &,
+    std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &,
                                       const std::vector<ProbeResult> &answers) override
     {
-        std::optional<std::size_t> best;
-        Duration bestWait = Duration::max();
-        for (const ProbeResult &answer : answers) {
-            const Duration wait = predictedWait(request, answer);
-            if (answer.canTakeWork && wait < bestWait) {
-                best = answer.endpoint;
-                bestWait = wait;
-            }
-        }
-        return best;
+        const std::optional<ProbeResult> best = bestAnswer(request, answers, 0);
+        return best.has_value() ? std::optional<std::size_t>(best->endpoint) : std::nullopt;
     }
 };
 
--- a/servers/routingstrategy.h
+++ b/servers/routingstrategy.h
@@ -40,8 +40,9 @@
 };
 
 /**
- * A way of choosing the endpoint for a request. First it names the endpoints
- * to probe; then it chooses with the answers that came in time.
+ * A way of choosing the endpoint for a request. It names endpoints to probe,
+ * possibly in several rounds, and then chooses with the answers that came in
+ * time.
  */
 class RoutingStrategy
 {
@@ -50,23 +51,32 @@
 
     virtual ~RoutingStrategy() = default;
 
-    /** The endpoints to probe, best guess first; empty when the strategy needs no answers. */
-    virtual std::vector<std::size_t> candidates(const RoutingRequest &request, const std::vector<EndpointView> &endpoints, Random &random) = 0;
+    /**
+     * The endpoints to probe next, best guess first; empty when the answers so far are enough.
+     * @param probed the endpoints that were probed in earlier rounds
+     */
+    virtual std::vector<std::size_t> nextProbes(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
+                                                const std::vector<std::size_t> &probed, const std::vector<ProbeResult> &answers,
+                                                Random &random) = 0;
 
     /** The endpoint for the request; nothing when none can take it. */
     virtual std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
-                                              const std::vector<std::size_t> &candidates, const std::vector<ProbeResult> &answers) = 0;
+                                              const std::vector<ProbeResult> &answers) = 0;
 };
 
 /** Tunes the strategies that look at hashes and probes. */
 struct RoutingSettings
 {
-    /** Endpoints by hash that are probed. */
-    std::size_t hashCandidates = 3;
-    /** Endpoints by low load that are probed besides. */
-    std::size_t loadCandidates = 1;
-    /** How much later the first token may be, in the hash order's favour, for each place in it. */
-    Duration hashBias = std::chrono::milliseconds(50);
+    /** Endpoints that are probed first. */
+    std::size_t firstProbes = 2;
+    /** Endpoints that are probed besides when the first ones would keep the request waiting. */
+    std::size_t moreProbes = 2;
+    /** The predicted time to first token above which more endpoints are probed. */
+    Duration probeMoreAbove = std::chrono::milliseconds(150);
+    /** What recomputing counts for besides the request's own wait: it takes time from others and evicts their blocks. */
+    double recomputeWeight = 1;
+    /** The placements that are remembered, so that a copy off the hash order is found again. */
+    std::size_t rememberedPlacements = 4096;
     /** The load that an endpoint may have, as a multiple of the mean, before hashing with bounded load passes it over. */
     double loadBound = 1.25;
 };
