--- /dev/null
+++ b/bench/capacitybench.cpp
@@ -0,0 +1,380 @@
+// Measures how state, time and messages of each part grow: at least four
+// points over a decade each. docs/CAPACITY.md works its figures out from this.
+
+#include "core/hash.h"
+#include "drivers/framecodec.h"
+#include "drivers/messagecodec.h"
+#include "servers/blockindex.h"
+#include "servers/expectedblocks.h"
+#include "servers/fairqueue.h"
+#include "servers/fleetstatereader.h"
+#include "servers/freshnessguard.h"
+#include "servers/limitholder.h"
+#include "servers/promptchain.h"
+#include "servers/routingstrategy.h"
+#include "servers/streamassembler.h"
+
+#include <nlohmann/json.hpp>
+
+#include <malloc.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace citronspar;
+using nlohmann::json;
+
+/** One measured point of a part. */
+struct Point
+{
+    double size = 0;
+    /** Memory that the state holds, in bytes. */
+    double bytes = 0;
+    /** Time of one operation, in microseconds. */
+    double microseconds = 0;
+    /** Bytes of one operation's messages or of the row it writes. */
+    double messageBytes = 0;
+};
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks + mallinfo2().hblkhd);
+}
+
+double microsecondsPer(std::size_t count, const std::function<void()> &operation)
+{
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < count; ++i) {
+        operation();
+    }
+    const std::chrono::duration<double, std::micro> taken = std::chrono::steady_clock::now() - start;
+    return taken.count() / static_cast<double>(count);
+}
+
+std::size_t frameBytes(const wire::Body &body)
+{
+    wire::Envelope envelope;
+    envelope.__set_sender("entry-000");
+    envelope.__set_incarnation(std::int64_t(1) << 62);
+    envelope.__set_wallMicroseconds(std::int64_t(1) << 50);
+    envelope.__set_wallCounter(3);
+    envelope.__set_body(body);
+    FrameCodec codec("0123456789abcdef", std::string(FrameCodec::nonceBytes, 'a'));
+    return codec.encode(encodeEnvelope(envelope)).size();
+}
+
+json fleetDocument(std::size_t accounts)
+{
+    json document = {{"roster", {"a", "b", "c"}}, {"accounts", json::object()},  {"keys", json::object()},
+                     {"routes", json::object()},  {"endpoints", json::object()}, {"holders", json::object()}};
+    for (std::size_t i = 0; i < accounts; ++i) {
+        const std::string name = "account-" + std::to_string(i);
+        document["accounts"][name] = {{"tokensPerSecond", 1000.0}, {"burstTokens", 20000.0}};
+        std::string digest(64, '0');
+        digest.replace(0, std::to_string(i).size(), std::to_string(i));
+        document["keys"]["key-" + std::to_string(i)] = {{"account", name}, {"sha256", digest}};
+    }
+    return document;
+}
+
+Point measureFleetState(double size)
+{
+    const json document = fleetDocument(static_cast<std::size_t>(size));
+    const double before = heapBytes();
+    FleetStateReader reader;
+    std::shared_ptr<const FleetState> state;
+    Point point;
+    point.size = size;
+    point.microseconds = microsecondsPer(1, [&]() { state = reader.read(1, document); });
+    point.bytes = heapBytes() - before;
+    point.messageBytes = static_cast<double>(document.dump().size());
+    return point;
+}
+
+Point measureRoster(double size)
+{
+    const TimePoint now{std::chrono::hours(1)};
+    Roster roster;
+    for (int i = 0; i < static_cast<int>(size); ++i) {
+        roster.members.push_back("entry-" + std::to_string(i));
+    }
+    const double before = heapBytes();
+    FreshnessGuard guard(FreshnessGuard::Settings(), "leaf", now);
+    guard.applied(1, roster);
+    wire::FreshnessAnswer answer;
+    answer.__set_version(100000);
+    answer.__set_canVouch(true);
+    answer.__set_questionId(100000);
+    answer.__set_proofAgeMicroseconds(400000);
+    wire::Body body;
+    body.__set_freshnessAnswer(answer);
+    wire::FreshnessQuestion question;
+    question.__set_questionId(100000);
+    wire::Body asked;
+    asked.__set_freshnessQuestion(question);
+    Point point;
+    point.size = size;
+    point.microseconds = microsecondsPer(2000, [&]() {
+        const FreshnessGuard::QuestionId id = guard.ask(now);
+        for (const std::string &member : roster.members) {
+            guard.memberAnswered(id, member, 1, true);
+        }
+        guard.isFresh(now);
+    });
+    point.bytes = heapBytes() - before;
+    point.messageBytes = size * static_cast<double>(frameBytes(body) + frameBytes(asked));
+    return point;
+}
+
+Point measureLimits(double size)
+{
+    const TimePoint start{std::chrono::hours(1)};
+    const double before = heapBytes();
+    LimitHolder holder{LimitHolder::Settings()};
+    holder.begin(LimitRow{1, {}}, start);
+    std::vector<std::string> names;
+    for (int i = 0; i < static_cast<int>(size); ++i) {
+        names.push_back("account-" + std::to_string(i));
+        holder.setAccount(names.back(), 100000, 2000000, start);
+    }
+    holder.nextWrite(start);
+    holder.writeCommitted();
+    Point point;
+    point.size = size;
+    point.bytes = heapBytes() - before;
+    std::size_t number = 0;
+    point.microseconds = microsecondsPer(20000, [&]() {
+        holder.reserve(names[number % names.size()], std::to_string(number), 10, start);
+        holder.giveBack(std::to_string(number), 5, start);
+        ++number;
+    });
+    LimitRow row;
+    for (const std::string &name : names) {
+        row.floors[name] = 123456.789;
+    }
+    point.messageBytes = static_cast<double>(json(row.floors).dump().size());
+    return point;
+}
+
+/** The pass that looks for floors to write. */
+Point measureFloorPass(double size)
+{
+    const TimePoint start{std::chrono::hours(1)};
+    LimitHolder holder{LimitHolder::Settings()};
+    holder.begin(LimitRow{1, {}}, start);
+    for (int i = 0; i < static_cast<int>(size); ++i) {
+        holder.setAccount("account-" + std::to_string(i), 100000, 2000000, start);
+    }
+    holder.nextWrite(start);
+    holder.writeCommitted();
+    Point point;
+    point.size = size;
+    point.microseconds = microsecondsPer(2000, [&]() { holder.nextWrite(start); });
+    return point;
+}
+
+Point measureBlockIndex(double size)
+{
+    const double before = heapBytes();
+    BlockIndex index;
+    index.reset(1, 0);
+    std::int64_t sequence = 0;
+    const std::size_t blocks = static_cast<std::size_t>(size);
+    for (std::size_t i = 0; i < blocks; ++i) {
+        index.stored(1, sequence++, {hashCombine(1, i)});
+    }
+    Point point;
+    point.size = size;
+    point.bytes = heapBytes() - before;
+    std::size_t next = blocks;
+    point.microseconds = microsecondsPer(50000,
+                                         [&]() {
+                                             index.stored(1, sequence++, {hashCombine(1, next)});
+                                             index.removed(1, sequence++, {hashCombine(1, next - blocks)});
+                                             ++next;
+                                         })
+        / 2;
+    return point;
+}
+
+Point measureRouting(double size)
+{
+    std::vector<EndpointView> views(static_cast<std::size_t>(size));
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        views[i].idHash = hashCombine(7, i);
+    }
+    const double before = heapBytes();
+    const std::unique_ptr<RoutingStrategy> strategy = makeRoutingStrategy(defaultRoutingStrategy, RoutingSettings());
+    RoutingStrategy::Random random(1);
+    std::uint64_t affinity = 0;
+    Point point;
+    point.size = size;
+    point.microseconds = microsecondsPer(2000, [&]() {
+        const RoutingRequest request{++affinity, 30000};
+        const std::vector<std::size_t> probed = strategy->nextProbes(request, views, {}, {}, random);
+        std::vector<ProbeResult> answers;
+        for (const std::size_t endpoint : probed) {
+            answers.push_back(ProbeResult{endpoint, 30000, 0, 25000, true});
+        }
+        strategy->nextProbes(request, views, probed, answers, random);
+        strategy->choose(request, views, answers);
+    });
+    point.bytes = heapBytes() - before;
+    return point;
+}
+
+/** A probe and its answer; the size is the number of blocks of the prompt. */
+Point measureProbe(double size)
+{
+    wire::Probe probe;
+    probe.__set_probeId(1000000);
+    probe.__set_account("account-12345");
+    std::vector<std::int64_t> blocks;
+    for (std::size_t i = 0; i < static_cast<std::size_t>(size); ++i) {
+        blocks.push_back(static_cast<std::int64_t>(hashCombine(3, i)));
+    }
+    probe.__set_blocks(blocks);
+    wire::Body asked;
+    asked.__set_probe(probe);
+    wire::ProbeAnswer answer;
+    answer.__set_probeId(1000000);
+    answer.__set_cachedBlocks(7);
+    answer.__set_queuedTokens(100000);
+    answer.__set_engineIncarnation(std::int64_t(1) << 40);
+    answer.__set_weights("weights-1");
+    answer.__set_isLeaving(false);
+    answer.__set_prefillTokensPerSecond(25000);
+    wire::Body answered;
+    answered.__set_probeAnswer(answer);
+    Point point;
+    point.size = size;
+    point.messageBytes = static_cast<double>(frameBytes(asked) + frameBytes(answered));
+    point.microseconds = microsecondsPer(5000, [&]() {
+        frameBytes(asked);
+        frameBytes(answered);
+    });
+    return point;
+}
+
+/** A delta from the endpoint daemon to the entry daemon; the size is its text in bytes. */
+Point measureDelta(double size)
+{
+    wire::StreamDelta delta;
+    delta.attempt.__set_incarnation(std::int64_t(1) << 62);
+    delta.attempt.__set_counter(1000000);
+    delta.__isset.attempt = true;
+    delta.__set_index(100);
+    delta.__set_data(std::string(static_cast<std::size_t>(size), 'x'));
+    wire::Body body;
+    body.__set_streamDelta(delta);
+    wire::Envelope envelope;
+    envelope.__set_body(body);
+    FrameCodec sender("0123456789abcdef", std::string(FrameCodec::nonceBytes, 'a'));
+    FrameCodec receiver("0123456789abcdef", std::string(FrameCodec::nonceBytes, 'b'));
+    sender.decode(receiver.greeting());
+    receiver.decode(sender.greeting());
+    Point point;
+    point.size = size;
+    point.messageBytes = static_cast<double>(frameBytes(body));
+    point.microseconds = microsecondsPer(20000, [&]() {
+        const std::string bytes = sender.encode(encodeEnvelope(envelope));
+        decodeEnvelope(receiver.decode(bytes)->front());
+    });
+    return point;
+}
+
+Point measureQueue(double size)
+{
+    const double before = heapBytes();
+    FairQueue queue;
+    std::int64_t number = 0;
+    for (; number < static_cast<std::int64_t>(size); ++number) {
+        queue.push(FairQueue::Item{{1, number}, "account-" + std::to_string(number % 50), 3000});
+    }
+    Point point;
+    point.size = size;
+    point.bytes = heapBytes() - before;
+    point.microseconds = microsecondsPer(2000, [&]() {
+        queue.tokensAhead("account-1");
+        queue.push(FairQueue::Item{{1, ++number}, "account-" + std::to_string(number % 50), 3000});
+        queue.pop();
+    });
+    return point;
+}
+
+Point measureChain(double size)
+{
+    const std::string prompt(static_cast<std::size_t>(size), 'p');
+    Point point;
+    point.size = size;
+    point.microseconds = microsecondsPer(200, [&]() { buildPromptChain(ChainScope{"a", "m", "", "w"}, {prompt}, 16384, 4); });
+    return point;
+}
+
+/** A part with its points. */
+struct Part
+{
+    const char *name;
+    const char *unit;
+    Point (*measure)(double size);
+    std::array<double, 4> sizes;
+};
+
+const std::array<Part, 10> parts = {{
+    {"fleet state", "accounts with a key", measureFleetState, {2000, 5000, 10000, 20000}},
+    {"freshness", "roster members asked", measureRoster, {3, 7, 15, 31}},
+    {"limits", "accounts in shard", measureLimits, {20, 60, 100, 200}},
+    {"floor pass", "accounts in shard", measureFloorPass, {20, 60, 100, 200}},
+    {"block index", "blocks of the engine", measureBlockIndex, {10000, 30000, 60000, 100000}},
+    {"routing", "endpoints of the pool", measureRouting, {270, 700, 1400, 2700}},
+    {"probe", "blocks of the prompt", measureProbe, {2, 7, 14, 28}},
+    {"delta", "bytes of text", measureDelta, {30, 60, 120, 300}},
+    {"fair queue", "queued requests", measureQueue, {10, 30, 60, 100}},
+    {"prompt chain", "bytes of prompt", measureChain, {16384, 49152, 98304, 163840}},
+}};
+
+/** The least-squares slope of @p value over the size. */
+double slope(const std::array<Point, 4> &points, double Point::*value)
+{
+    double meanSize = 0;
+    double meanValue = 0;
+    for (const Point &point : points) {
+        meanSize += point.size / static_cast<double>(points.size());
+        meanValue += point.*value / static_cast<double>(points.size());
+    }
+    double covariance = 0;
+    double variance = 0;
+    for (const Point &point : points) {
+        covariance += (point.size - meanSize) * (point.*value - meanValue);
+        variance += (point.size - meanSize) * (point.size - meanSize);
+    }
+    return covariance / variance;
+}
+
+}
+
+int main()
+{
+    std::printf("%-13s %-22s %9s %12s %12s %12s\n", "part", "size in", "size", "state B", "us each", "message B");
+    for (const Part &part : parts) {
+        std::array<Point, 4> points;
+        for (std::size_t i = 0; i < points.size(); ++i) {
+            points[i] = part.measure(part.sizes[i]);
+            const Point &point = points[i];
+            std::printf("%-13s %-22s %9.0f %12.0f %12.3f %12.0f\n", part.name, part.unit, point.size, point.bytes, point.microseconds,
+                        point.messageBytes);
+        }
+        std::printf("%-13s slope per unit %29.2f %12.5f %12.2f\n", part.name, slope(points, &Point::bytes),
+                    slope(points, &Point::microseconds), slope(points, &Point::messageBytes));
+    }
+    return 0;
+}
--- a/bench/routingbench.cpp
+++ b/bench/routingbench.cpp
@@ -111,9 +111,7 @@
                 }
             }
         });
-        m_schedule.after(loadPeriod, [this]() {
-            reportLoads();
-        });
+        m_schedule.after(loadPeriod, [this]() { reportLoads(); });
     }
 
     ProbeResult probe(std::size_t engine, const TraceRequest &request) const
@@ -162,17 +160,13 @@
             for (const std::size_t endpoint : next) {
                 all.push_back(probe(endpoint, request));
             }
-            m_schedule.after(oneWay, [this, request, entryIndex, probed, all]() {
-                probeNext(request, entryIndex, probed, all);
-            });
+            m_schedule.after(oneWay, [this, request, entryIndex, probed, all]() { probeNext(request, entryIndex, probed, all); });
         });
     }
 
     void retry(const TraceRequest &request, std::size_t entryIndex)
     {
-        m_schedule.after(std::chrono::milliseconds(10), [this, request, entryIndex]() {
-            place(request, entryIndex);
-        });
+        m_schedule.after(std::chrono::milliseconds(10), [this, request, entryIndex]() { place(request, entryIndex); });
     }
 
     void dispatch(const TraceRequest &request, std::size_t entryIndex, std::size_t engine)
@@ -183,15 +177,9 @@
         work.blocks = request.blocks;
         work.promptTokens = request.promptTokens;
         work.outputTokens = request.outputTokens;
-        work.onFirstToken = [this, request, engine](std::int64_t cachedBlocks) {
-            record(request, engine, cachedBlocks);
-        };
-        work.onCrash = [this, request, entryIndex]() {
-            retry(request, entryIndex);
-        };
-        m_schedule.after(m_settings.oneWay, [this, work, engine]() {
-            m_engines[engine]->submit(work);
-        });
+        work.onFirstToken = [this, request, engine](std::int64_t cachedBlocks) { record(request, engine, cachedBlocks); };
+        work.onCrash = [this, request, entryIndex]() { retry(request, entryIndex); };
+        m_schedule.after(m_settings.oneWay, [this, work, engine]() { m_engines[engine]->submit(work); });
     }
 
     void record(const TraceRequest &request, std::size_t engine, std::int64_t cachedBlocks)
@@ -247,12 +235,8 @@
     void planFaults()
     {
         if (m_settings.hasCrash) {
-            m_schedule.after(m_length / 3, [this]() {
-                m_engines[0]->crash(crashDownTime);
-            });
-            m_schedule.after(m_length * 2 / 3, [this]() {
-                m_engines[5]->crash(crashDownTime);
-            });
+            m_schedule.after(m_length / 3, [this]() { m_engines[0]->crash(crashDownTime); });
+            m_schedule.after(m_length * 2 / 3, [this]() { m_engines[5]->crash(crashDownTime); });
         }
         if (m_settings.hasHerd) {
             m_schedule.after(m_length / 2, [this]() {
@@ -288,9 +272,7 @@
         reportLoads();
         planFaults();
         for (std::size_t i = 0; i < trace.size(); ++i) {
-            m_schedule.after(trace[i].arrival - m_start, [this, &trace, i]() {
-                take(trace[i], i);
-            });
+            m_schedule.after(trace[i].arrival - m_start, [this, &trace, i]() { take(trace[i], i); });
         }
         m_schedule.run(m_length + std::chrono::minutes(2));
         return m_result;
@@ -329,9 +311,11 @@
     }
     const std::vector<double> all = waits(result, std::nullopt);
     const double prefix = static_cast<double>(result.prefixTokens);
-    const double late = result.latePrefixTokens > 0 ? static_cast<double>(result.lateHitTokens) / static_cast<double>(result.latePrefixTokens) : 0;
-    std::printf("%-13s %6.3f %7.3f %8.3f %7.3f %7.3f %7.3f %9.3f %8.3f %8.1f %8.1f\n", name.c_str(), static_cast<double>(result.cachedTokens) / prefix,
-                late, static_cast<double>(result.wastedTokens) / prefix, quantile(all, 0.5), quantile(all, 0.95), quantile(all, 0.99), worst, best,
+    const double late
+        = result.latePrefixTokens > 0 ? static_cast<double>(result.lateHitTokens) / static_cast<double>(result.latePrefixTokens) : 0;
+    std::printf("%-13s %6.3f %7.3f %8.3f %7.3f %7.3f %7.3f %9.3f %8.3f %8.1f %8.1f\n", name.c_str(),
+                static_cast<double>(result.cachedTokens) / prefix, late, static_cast<double>(result.wastedTokens) / prefix,
+                quantile(all, 0.5), quantile(all, 0.95), quantile(all, 0.99), worst, best,
                 static_cast<double>(result.messages) / static_cast<double>(result.requests),
                 static_cast<double>(result.refused) / static_cast<double>(runs));
 }
@@ -358,28 +342,16 @@
 
 const std::array<Case, 6> cases = {{
     {"steady", [](BenchSettings &) {}},
-    {"shift",
-     [](BenchSettings &settings) {
-         settings.workload.hasShift = true;
-     }},
-    {"crash",
-     [](BenchSettings &settings) {
-         settings.hasCrash = true;
-     }},
-    {"herd",
-     [](BenchSettings &settings) {
-         settings.hasHerd = true;
-     }},
+    {"shift", [](BenchSettings &settings) { settings.workload.hasShift = true; }},
+    {"crash", [](BenchSettings &settings) { settings.hasCrash = true; }},
+    {"herd", [](BenchSettings &settings) { settings.hasHerd = true; }},
     {"late",
      [](BenchSettings &settings) {
          settings.loadLag = std::chrono::seconds(5);
          settings.engine.maxEventDelay = std::chrono::seconds(2);
          settings.engine.lostEvents = 0.01;
      }},
-    {"flood",
-     [](BenchSettings &settings) {
-         settings.workload.hasFlood = true;
-     }},
+    {"flood", [](BenchSettings &settings) { settings.workload.hasFlood = true; }},
 }};
 
 void runCase(const Case &example, BenchSettings settings, int seeds, const std::string &only)
@@ -388,8 +360,8 @@
     example.change(settings);
     std::printf("\n%s: %zu requests at %.0f/s, %zu blocks of cache, %d seeds; times in seconds\n", example.name, settings.workload.requests,
                 settings.workload.requestsPerSecond, settings.engine.cacheBlocks, seeds);
-    std::printf("%-13s %6s %7s %8s %7s %7s %7s %9s %8s %8s %8s\n", "strategy", "hits", "hits5s", "wasted", "p50", "p95", "p99", "worst p99", "best p99",
-                "messages", "refused");
+    std::printf("%-13s %6s %7s %8s %7s %7s %7s %9s %8s %8s %8s\n", "strategy", "hits", "hits5s", "wasted", "p50", "p95", "p99", "worst p99",
+                "best p99", "messages", "refused");
     for (const std::string &name : routingStrategyNames()) {
         if (!only.empty() && only != name) {
             continue;
@@ -434,9 +406,7 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("routingbench", argc, argv, options, 0);
-    const ScopeGuard freeContext([context]() {
-        poptFreeContext(context);
-    });
+    const ScopeGuard freeContext([context]() { poptFreeContext(context); });
     const int parsed = poptGetNextOpt(context);
     if (parsed < -1) {
         std::fprintf(stderr, "routingbench: %s: %s\n", poptBadOption(context, 0), poptStrerror(parsed));
--- a/client/main.cpp
+++ b/client/main.cpp
@@ -42,9 +42,7 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("citronspar", argc, argv, options, 0);
-    const ScopeGuard freeContext([context]() {
-        poptFreeContext(context);
-    });
+    const ScopeGuard freeContext([context]() { poptFreeContext(context); });
     poptSetOtherOptionHelp(context, ("[OPTION...] COMMAND\n\n" + CommandReader::help()).c_str());
     const int result = poptGetNextOpt(context);
     if (result < -1) {
@@ -79,8 +77,8 @@
     for (const json &event : answer.at("events")) {
         const std::time_t seconds = event.at("time_us").get<std::int64_t>() / 1000000;
         const std::int64_t rest = event.at("time_us").get<std::int64_t>() % 1000000;
-        std::cout << std::put_time(std::gmtime(&seconds), "%H:%M:%S") << "." << std::setw(6) << std::setfill('0') << rest << std::setfill(' ')
-                  << "  " << std::left << std::setw(14) << event.at("daemon").get<std::string>() << std::setw(10)
+        std::cout << std::put_time(std::gmtime(&seconds), "%H:%M:%S") << "." << std::setw(6) << std::setfill('0') << rest
+                  << std::setfill(' ') << "  " << std::left << std::setw(14) << event.at("daemon").get<std::string>() << std::setw(10)
                   << event.at("part").get<std::string>() << std::right << event.at("what").get<std::string>();
         const std::string request = event.at("request").get<std::string>();
         std::cout << (request.empty() ? "" : "  [" + request + "]") << "\n";
--- a/core/base64.cpp
+++ b/core/base64.cpp
@@ -8,8 +8,8 @@
 std::string encodeBase64(const std::string &bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                       reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
@@ -17,8 +17,8 @@
 std::string decodeBase64(const std::string &text)
 {
     std::string bytes(text.size(), '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()),
-                                       static_cast<int>(text.size()));
+    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                       reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
     if (length < 0) {
         return std::string();
     }
--- a/drivers/claimrowjson.cpp
+++ b/drivers/claimrowjson.cpp
@@ -31,12 +31,8 @@
 json claimRowToJson(const ClaimRow &row)
 {
     return json{
-        {"attempt", row.attempt.toString()},
-        {"digest", row.digest},
-        {"state", stateNames.at(static_cast<std::size_t>(row.state))},
-        {"startMark", row.startMark.toString()},
-        {"status", row.status},
-        {"contentType", row.contentType},
+        {"attempt", row.attempt.toString()},     {"digest", row.digest}, {"state", stateNames.at(static_cast<std::size_t>(row.state))},
+        {"startMark", row.startMark.toString()}, {"status", row.status}, {"contentType", row.contentType},
         {"answer", encodeBase64(row.answer)},
     };
 }
--- a/drivers/framecodec.cpp
+++ b/drivers/framecodec.cpp
@@ -57,8 +57,8 @@
     const std::string text = senderNonce + receiverNonce + encodeNumber(count, sizeof(count)) + payload;
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
-    HMAC(EVP_sha256(), m_secret.data(), static_cast<int>(m_secret.size()), reinterpret_cast<const unsigned char *>(text.data()), text.size(),
-         digest.data(), &length);
+    HMAC(EVP_sha256(), m_secret.data(), static_cast<int>(m_secret.size()), reinterpret_cast<const unsigned char *>(text.data()),
+         text.size(), digest.data(), &length);
     return std::string(reinterpret_cast<const char *>(digest.data()), codeBytes);
 }
 
--- a/drivers/httpclient.cpp
+++ b/drivers/httpclient.cpp
@@ -67,9 +67,7 @@
     }
     // The failure is reported from the loop, so that the caller knows the id by then.
     if (pending != nullptr) {
-        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) {
-            finish(id, HttpEnd::NotSent);
-        });
+        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) { finish(id, HttpEnd::NotSent); });
     }
     return id;
 }
@@ -85,9 +83,7 @@
     };
     const std::shared_ptr<Collected> collected = std::make_shared<Collected>();
     Handlers handlers;
-    handlers.onHead = [collected](int status, const std::string &) {
-        collected->status = status;
-    };
+    handlers.onHead = [collected](int status, const std::string &) { collected->status = status; };
     handlers.onData = [collected](const std::string &data) {
         if (collected->body.size() + data.size() <= maxCollectedBytes) {
             collected->body += data;
@@ -149,8 +145,8 @@
     for (const std::pair<std::string, std::string> &header : headers) {
         const std::string name = header.first + ":";
         if (lws_add_http_header_by_name(socket, reinterpret_cast<const unsigned char *>(name.c_str()),
-                                        reinterpret_cast<const unsigned char *>(header.second.data()), static_cast<int>(header.second.size()),
-                                        position, end)
+                                        reinterpret_cast<const unsigned char *>(header.second.data()),
+                                        static_cast<int>(header.second.size()), position, end)
             != 0) {
             return -1;
         }
@@ -222,7 +218,7 @@
 
 int HttpClient::callback(lws *socket, lws_callback_reasons reason, void *, void *in, std::size_t length)
 {
-    lws_vhost *vhost = socket != nullptr ? lws_get_vhost(socket) : nullptr;
+    lws_vhost *vhost = socket != nullptr && !Loop::isClosing(socket) ? lws_get_vhost(socket) : nullptr;
     HttpClient *client = vhost != nullptr ? static_cast<HttpClient *>(lws_vhost_user(vhost)) : nullptr;
     if (client == nullptr) {
         return 0;
--- a/drivers/httpserver.cpp
+++ b/drivers/httpserver.cpp
@@ -36,8 +36,8 @@
 std::string customHeaderValue(lws *socket, const std::string &name)
 {
     std::array<char, headerValueBytes> buffer{};
-    const int length =
-        lws_hdr_custom_copy(socket, buffer.data(), static_cast<int>(buffer.size()), name.c_str(), static_cast<int>(name.size()));
+    const int length
+        = lws_hdr_custom_copy(socket, buffer.data(), static_cast<int>(buffer.size()), name.c_str(), static_cast<int>(name.size()));
     return length > 0 ? std::string(buffer.data(), static_cast<std::size_t>(length)) : std::string();
 }
 
@@ -310,11 +310,8 @@
 
 int HttpServer::callback(lws *socket, lws_callback_reasons reason, void *, void *in, std::size_t length)
 {
-    lws_vhost *vhost = lws_get_vhost(socket);
-    if (vhost == nullptr) {
-        return 0;
-    }
-    HttpServer *server = static_cast<HttpServer *>(lws_vhost_user(vhost));
+    lws_vhost *vhost = socket != nullptr && !Loop::isClosing(socket) ? lws_get_vhost(socket) : nullptr;
+    HttpServer *server = vhost != nullptr ? static_cast<HttpServer *>(lws_vhost_user(vhost)) : nullptr;
     if (server == nullptr) {
         return 0;
     }
--- a/drivers/loop.cpp
+++ b/drivers/loop.cpp
@@ -25,9 +25,22 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
     info.timeout_secs = libraryTimeoutSeconds;
+    info.user = this;
     m_context.reset(lws_create_context(&info));
 }
 
+Loop::~Loop()
+{
+    m_isClosing = true;
+    m_context.reset();
+}
+
+bool Loop::isClosing(lws *socket)
+{
+    const Loop *loop = static_cast<const Loop *>(lws_context_user(lws_get_context(socket)));
+    return loop == nullptr || loop->m_isClosing;
+}
+
 bool Loop::isOpen() const
 {
     return m_context != nullptr;
--- a/drivers/loop.h
+++ b/drivers/loop.h
@@ -34,12 +34,20 @@
     TimerService m_timers;
     WakeUp m_wakeUp;
     bool m_isStopped = false;
+    bool m_isClosing = false;
 
     void scheduleWakeUp();
     static void wakeUp(lws_sorted_usec_list_t *entry);
 
 public:
     Loop();
+    ~Loop();
+
+    Loop(const Loop &) = delete;
+    Loop &operator=(const Loop &) = delete;
+
+    /** Whether the loop that @p socket belongs to is being destroyed, so that its owner may be gone. */
+    static bool isClosing(lws *socket);
 
     /** Whether the library could set up its context. */
     bool isOpen() const;
--- a/drivers/peernetwork.cpp
+++ b/drivers/peernetwork.cpp
@@ -93,9 +93,7 @@
     info.opaque_user_data = reinterpret_cast<void *>(id);
     lws *socket = lws_client_connect_via_info(&info);
     if (socket == nullptr) {
-        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) {
-            drop(id);
-        });
+        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) { drop(id); });
     }
     return id;
 }
@@ -188,7 +186,7 @@
 
 int PeerNetwork::callback(lws *socket, lws_callback_reasons reason, void *, void *in, std::size_t length)
 {
-    lws_vhost *vhost = socket != nullptr ? lws_get_vhost(socket) : nullptr;
+    lws_vhost *vhost = socket != nullptr && !Loop::isClosing(socket) ? lws_get_vhost(socket) : nullptr;
     PeerNetwork *network = vhost != nullptr ? static_cast<PeerNetwork *>(lws_vhost_user(vhost)) : nullptr;
     if (network == nullptr) {
         return 0;
--- a/main/call.cpp
+++ b/main/call.cpp
@@ -42,7 +42,8 @@
     }
     m_services.core.metrics().count(std::string("refused.") + errorAnswer(kind).name);
     record(std::string("fails: ") + errorAnswer(kind).name);
-    m_services.server.respond(m_exchange, errorAnswer(kind).httpStatus, "application/json", errorBody(kind, runState(kind), m_name, retryAfter));
+    m_services.server.respond(m_exchange, errorAnswer(kind).httpStatus, "application/json",
+                              errorBody(kind, runState(kind), m_name, retryAfter));
     finish();
 }
 
--- a/main/configservice.cpp
+++ b/main/configservice.cpp
@@ -1,7 +1,10 @@
 #include "main/configservice.h"
 
+#include "core/hash.h"
 #include "drivers/log.h"
+#include "servers/rendezvous.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -18,6 +21,11 @@
 
 constexpr Duration pollPeriod = std::chrono::milliseconds(400);
 
+// Two relays and their poll periods fit in before a proof is as old as this.
+constexpr Duration oldProofAge = std::chrono::milliseconds(1300);
+constexpr std::size_t parentCount = 2;
+constexpr std::int64_t noProof = -1;
+
 }
 
 ConfigService::ConfigService(DaemonCore &core, PeerLinks &links)
@@ -26,17 +34,13 @@
     , m_guard(FreshnessGuard::Settings(), core.settings().daemon, Loop::now())
     , m_state(std::make_shared<FleetState>())
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
-        handle(origin, body);
-    });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
 }
 
 void ConfigService::start()
 {
     poll(Loop::now());
-    m_core.timers().subscribe(pollPeriod, [this](TimePoint) {
-        poll(Loop::now());
-    });
+    m_core.timers().subscribe(pollPeriod, [this](TimePoint) { poll(Loop::now()); });
 }
 
 void ConfigService::onChange(ChangeHandler handler)
@@ -49,13 +53,31 @@
 
 void ConfigService::poll(TimePoint now)
 {
-    askTable(now);
-    askRoster(now);
+    if (isRosterMember() || isProofOld(now)) {
+        askTable(now);
+    }
+    askPeers(now);
     if (m_guard.highestHeard() > m_guard.version()) {
         fetchDocument();
     }
 }
 
+bool ConfigService::isRosterMember() const
+{
+    for (const std::vector<std::string> &members : {m_state->roster().members, m_state->roster().previousMembers}) {
+        if (std::find(members.begin(), members.end(), m_core.settings().daemon) != members.end()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool ConfigService::isProofOld(TimePoint now) const
+{
+    const std::optional<TimePoint> proof = m_guard.proofTime(now);
+    return !proof.has_value() || now - *proof > oldProofAge;
+}
+
 void ConfigService::askTable(TimePoint now)
 {
     if (m_isTableReadOpen) {
@@ -85,7 +107,40 @@
     return endpoint != nullptr ? endpoint->address : std::string();
 }
 
-void ConfigService::askRoster(TimePoint now)
+std::vector<std::string> ConfigService::parents() const
+{
+    std::vector<std::string> candidates;
+    if (m_core.settings().role == Settings::Role::Entry) {
+        candidates = m_state->roster().members;
+    } else {
+        for (const std::pair<const std::string, std::string> &daemon : m_state->daemons()) {
+            candidates.push_back(daemon.first);
+        }
+    }
+    std::vector<std::uint64_t> hashes;
+    for (const std::string &candidate : candidates) {
+        hashes.push_back(hashBytes(candidate, 0));
+    }
+    std::vector<std::string> chosen;
+    for (const std::size_t place : rendezvousOrder(hashBytes(m_core.settings().daemon, 0), hashes)) {
+        if (chosen.size() < parentCount) {
+            chosen.push_back(candidates[place]);
+        }
+    }
+    return chosen;
+}
+
+std::vector<std::string> ConfigService::peersToAsk(TimePoint now) const
+{
+    if (!isRosterMember() && !isProofOld(now)) {
+        return parents();
+    }
+    std::vector<std::string> all = m_state->roster().members;
+    all.insert(all.end(), m_state->roster().previousMembers.begin(), m_state->roster().previousMembers.end());
+    return all;
+}
+
+void ConfigService::askPeers(TimePoint now)
 {
     wire::FreshnessQuestion question;
     question.__set_questionId(static_cast<std::int64_t>(m_guard.ask(now)));
@@ -95,10 +150,8 @@
     if (m_state->version() == 0) {
         addresses.insert(m_core.settings().seeds.begin(), m_core.settings().seeds.end());
     }
-    for (const std::vector<std::string> &members : {m_state->roster().members, m_state->roster().previousMembers}) {
-        for (const std::string &member : members) {
-            addresses.insert(member == m_core.settings().daemon ? std::string() : addressOf(member));
-        }
+    for (const std::string &peer : peersToAsk(now)) {
+        addresses.insert(peer == m_core.settings().daemon ? std::string() : addressOf(peer));
     }
     addresses.erase(std::string());
     for (const std::string &address : addresses) {
@@ -147,7 +200,11 @@
         answerFreshness(origin, body.freshnessQuestion);
     } else if (body.__isset.freshnessAnswer) {
         const wire::FreshnessAnswer &answer = body.freshnessAnswer;
-        m_guard.memberAnswered(static_cast<FreshnessGuard::QuestionId>(answer.questionId), origin.sender, answer.version, answer.canVouch);
+        const FreshnessGuard::QuestionId question = static_cast<FreshnessGuard::QuestionId>(answer.questionId);
+        m_guard.memberAnswered(question, origin.sender, answer.version, answer.canVouch);
+        if (answer.proofAgeMicroseconds >= 0) {
+            m_guard.relayAnswered(question, answer.version, Duration(answer.proofAgeMicroseconds));
+        }
         if (answer.version > m_guard.version()) {
             wire::Body fetch;
             fetch.__set_configFetch(wire::ConfigFetch());
@@ -169,6 +226,9 @@
     answer.__set_questionId(question.questionId);
     answer.__set_version(m_guard.version());
     answer.__set_canVouch(m_guard.canVouch());
+    const TimePoint now = Loop::now();
+    const std::optional<TimePoint> proof = m_guard.proofTime(now);
+    answer.__set_proofAgeMicroseconds(proof.has_value() ? (now - *proof).count() : noProof);
     wire::Body body;
     body.__set_freshnessAnswer(answer);
     m_links.send(origin.link, body);
@@ -195,7 +255,7 @@
             sendDocument(m_links.linkTo(address));
         }
     }
-    askRoster(Loop::now());
+    askPeers(Loop::now());
 }
 
 const FleetState &ConfigService::state() const
--- a/main/configservice.h
+++ b/main/configservice.h
@@ -22,7 +22,10 @@
 
 /**
  * Keeps this daemon's configuration at the newest version and proves that it
- * is the newest, by the table or by a majority of the roster.
+ * is the newest. Members of the roster ask the table and each other. All
+ * others ask two parents, which pass their proofs on with their age: an entry
+ * daemon's parents are roster members, an endpoint daemon's are entry daemons.
+ * A daemon whose proof grows old asks the table and the roster itself.
  */
 class ConfigService
 {
@@ -42,7 +45,11 @@
 
     void poll(TimePoint now);
     void askTable(TimePoint now);
-    void askRoster(TimePoint now);
+    void askPeers(TimePoint now);
+    std::vector<std::string> peersToAsk(TimePoint now) const;
+    std::vector<std::string> parents() const;
+    bool isRosterMember() const;
+    bool isProofOld(TimePoint now) const;
     void fetchDocument();
     void handle(const MessageOrigin &origin, const wire::Body &body);
     void answerFreshness(const MessageOrigin &origin, const wire::FreshnessQuestion &question);
--- a/main/endpointjob.cpp
+++ b/main/endpointjob.cpp
@@ -35,7 +35,8 @@
     wire::Body body;
     body.__set_streamEnd(end);
     m_links.send(m_link, body);
-    m_core.record("endpoint", errorKind.empty() ? "attempt complete" : "attempt failed: " + errorKind, attempt().toString(), m_dispatch.account);
+    m_core.record("endpoint", errorKind.empty() ? "attempt complete" : "attempt failed: " + errorKind, attempt().toString(),
+                  m_dispatch.account);
 }
 
 void EndpointJob::sendRefusal(ErrorKind kind)
--- a/main/endpointrole.cpp
+++ b/main/endpointrole.cpp
@@ -48,25 +48,17 @@
     if (!core.settings().engine.empty()) {
         m_engine = std::make_unique<EngineWatch>(core, parseSocketAddress(core.settings().engine));
     }
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
-        handle(origin, body);
-    });
-    m_links.onClosed([this](PeerNetwork::LinkId link) {
-        linkClosed(link);
-    });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
+    m_links.onClosed([this](PeerNetwork::LinkId link) { linkClosed(link); });
 }
 
 bool EndpointRole::open()
 {
     if (m_engine != nullptr) {
-        m_engine->onDown([this]() {
-            m_expected.clear();
-        });
+        m_engine->onDown([this]() { m_expected.clear(); });
         m_engine->start();
     }
-    m_core.timers().subscribe(tickPeriod, [this](TimePoint) {
-        tick();
-    });
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint) { tick(); });
     LOG4CXX_INFO(logger, "stands beside endpoint " << m_core.settings().endpoint);
     return true;
 }
@@ -207,10 +199,11 @@
     if (m_engine == nullptr) {
         return std::make_shared<ServiceJob>(m_core, m_links, origin.link, dispatch, parseSocketAddress(m_core.settings().service));
     }
-    const ModelJob::CrashHandler onCrash = [this](const wire::Dispatch &crashed) {
-        reportCrash(crashed);
-    };
-    return std::make_shared<ModelJob>(m_core, m_links, origin.link, dispatch, parseSocketAddress(m_core.settings().engine),
+    const ModelJob::CrashHandler onCrash = [this](const wire::Dispatch &crashed) { reportCrash(crashed); };
+    // A crash is known by the incarnation that ran the request, also when its sender knew none.
+    wire::Dispatch own = dispatch;
+    own.__set_engineIncarnation(m_engine->index().incarnation());
+    return std::make_shared<ModelJob>(m_core, m_links, origin.link, own, parseSocketAddress(m_core.settings().engine),
                                       missingTokens(dispatch), firstIndexOf(dispatch), onCrash);
 }
 
@@ -270,6 +263,7 @@
     wire::SuspectReport report;
     report.__set_requestDigest(dispatch.requestDigest);
     report.__set_endpoint(m_core.settings().endpoint);
+    report.__set_engineIncarnation(dispatch.engineIncarnation);
     wire::Body body;
     body.__set_suspectReport(report);
     for (const std::pair<const std::string, std::string> &daemon : m_config.state().daemons()) {
--- a/main/entryrole.cpp
+++ b/main/entryrole.cpp
@@ -1,6 +1,7 @@
 #include "main/entryrole.h"
 
 #include "core/digest.h"
+#include "core/hash.h"
 #include "drivers/log.h"
 #include "main/modelcall.h"
 #include "main/oncecall.h"
@@ -19,7 +20,7 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
 constexpr double retryShare = 0.2;
 constexpr double retryReserve = 50;
-constexpr int maxCrashes = 2;
+constexpr std::size_t maxCrashes = 2;
 constexpr Duration blockTime = std::chrono::minutes(10);
 constexpr std::size_t maxSuspects = 10000;
 
@@ -51,12 +52,8 @@
     , m_retries(retryShare, retryReserve)
     , m_suspects(maxCrashes, blockTime, maxSuspects)
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
-        handle(origin, body);
-    });
-    m_links.onClosed([this](PeerNetwork::LinkId link) {
-        linkClosed(link);
-    });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
+    m_links.onClosed([this](PeerNetwork::LinkId link) { linkClosed(link); });
 }
 
 bool EntryRole::open()
@@ -65,9 +62,7 @@
         LOG4CXX_ERROR(logger, "can't listen on " << m_core.settings().httpListen);
         return false;
     }
-    m_server.onRequest([this](HttpServer::ExchangeId id, HttpRequest request) {
-        takeRequest(id, std::move(request));
-    });
+    m_server.onRequest([this](HttpServer::ExchangeId id, HttpRequest request) { takeRequest(id, std::move(request)); });
     m_server.onGone([this](HttpServer::ExchangeId id) {
         const auto found = m_calls.find(id);
         if (found != m_calls.end()) {
@@ -81,9 +76,7 @@
         }
     });
     m_limits.start();
-    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) {
-        tick(now);
-    });
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) { tick(now); });
     LOG4CXX_INFO(logger, "serves callers on " << m_core.settings().httpListen);
     return true;
 }
@@ -177,9 +170,10 @@
             call->ended(body.streamEnd);
         }
     } else if (body.__isset.suspectReport) {
-        const std::uint64_t digest = static_cast<std::uint64_t>(body.suspectReport.requestDigest);
-        const int crashes = m_suspects.addCrash(digest, Loop::now());
-        m_core.record("suspects", "request blamed for a crash of " + body.suspectReport.endpoint + ", count " + std::to_string(crashes));
+        const wire::SuspectReport &report = body.suspectReport;
+        const std::uint64_t crash = hashBytes(report.endpoint, static_cast<std::uint64_t>(report.engineIncarnation));
+        const std::size_t crashes = m_suspects.addCrash(static_cast<std::uint64_t>(report.requestDigest), crash, Loop::now());
+        m_core.record("suspects", "request blamed for a crash of " + report.endpoint + ", count " + std::to_string(crashes));
     }
 }
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -40,9 +40,7 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("citronspard", argc, argv, options, 0);
-    const ScopeGuard freeContext([context]() {
-        poptFreeContext(context);
-    });
+    const ScopeGuard freeContext([context]() { poptFreeContext(context); });
     const int result = poptGetNextOpt(context);
     if (result < -1) {
         std::cerr << "citronspard: " << poptBadOption(context, 0) << ": " << poptStrerror(result) << "\n";
--- a/main/oncecall.cpp
+++ b/main/oncecall.cpp
@@ -66,9 +66,7 @@
         ClaimFlow::Settings settings;
         settings.maxAttempts = call->m_services.config.state().defaults().maxAttempts;
         DaemonCore &core = call->m_services.core;
-        const ClaimFlow::AttemptSource source = [&core]() {
-            return core.nextId();
-        };
+        const ClaimFlow::AttemptSource source = [&core]() { return core.nextId(); };
         call->m_flow = std::make_unique<ClaimFlow>(settings, source, call->m_digest, call->m_deadline);
         call->act(call->m_flow->start(Loop::now()));
     });
@@ -120,8 +118,8 @@
             if (call == nullptr || call->isFinished()) {
                 return;
             }
-            const std::optional<StoredClaim> stored =
-                row.has_value() ? std::optional<StoredClaim>(storedClaimFromRow(*row)) : std::optional<StoredClaim>();
+            const std::optional<StoredClaim> stored
+                = row.has_value() ? std::optional<StoredClaim>(storedClaimFromRow(*row)) : std::optional<StoredClaim>();
             call->act(call->m_flow->readEnded(stored, Loop::now()));
         });
     });
--- a/main/probeservice.cpp
+++ b/main/probeservice.cpp
@@ -23,9 +23,7 @@
     , m_strategy(std::move(strategy))
     , m_random(static_cast<std::uint64_t>(core.incarnation()))
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
-        handle(origin, body);
-    });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
 }
 
 void ProbeService::handle(const MessageOrigin &origin, const wire::Body &body)
@@ -78,9 +76,7 @@
         round.probed.push_back(endpoint);
         m_links.sendTo(round.endpoints[endpoint]->address, body);
     }
-    round.timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) {
-        probeNext(id);
-    });
+    round.timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) { probeNext(id); });
 }
 
 void ProbeService::take(const MessageOrigin &origin, const wire::ProbeAnswer &answer)
@@ -98,7 +94,8 @@
         result.endpoint = candidate;
         result.queuedTokens = answer.queuedTokens;
         result.prefillTokensPerSecond = static_cast<double>(answer.prefillTokensPerSecond);
-        const std::int64_t pieceTokens = static_cast<std::int64_t>(static_cast<double>(m_core.settings().pieceBytes) / m_core.settings().bytesPerToken);
+        const std::int64_t pieceTokens
+            = static_cast<std::int64_t>(static_cast<double>(m_core.settings().pieceBytes) / m_core.settings().bytesPerToken);
         result.cachedTokens = answer.cachedBlocks * pieceTokens;
         const bool hasWeights = round.wantedWeights.empty() || round.wantedWeights == answer.weights;
         result.canTakeWork = !answer.isLeaving && hasWeights;
--- a/main/servicejob.cpp
+++ b/main/servicejob.cpp
@@ -63,8 +63,8 @@
     const std::shared_ptr<ServiceJob> self = shared_from_this();
     m_core.timers().subscribeOnce(read.pause, [self](TimePoint) {
         self->m_core.table().read(self->m_dispatch.claimKey, [self](const std::optional<TableRow> &row) {
-            const std::optional<StoredClaim> stored =
-                row.has_value() ? std::optional<StoredClaim>(storedClaimFromRow(*row)) : std::optional<StoredClaim>();
+            const std::optional<StoredClaim> stored
+                = row.has_value() ? std::optional<StoredClaim>(storedClaimFromRow(*row)) : std::optional<StoredClaim>();
             self->act(self->m_gate->readEnded(stored, Loop::now()));
         });
     });
@@ -86,12 +86,8 @@
         self->m_status = status;
         self->m_contentType = contentType;
     };
-    handlers.onData = [self](const std::string &data) {
-        self->m_answer += data;
-    };
-    handlers.onEnd = [self](HttpEnd end) {
-        self->serviceEnded(end);
-    };
+    handlers.onData = [self](const std::string &data) { self->m_answer += data; };
+    handlers.onEnd = [self](HttpEnd end) { self->serviceEnded(end); };
     m_call = m_core.http().send(std::move(request), std::move(handlers));
 }
 
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -2413,6 +2413,10 @@
 void SuspectReport::__set_endpoint(const std::string& val) {
   this->endpoint = val;
 }
+
+void SuspectReport::__set_engineIncarnation(const int64_t val) {
+  this->engineIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const SuspectReport& obj)
 {
   obj.printTo(out);
@@ -2457,6 +2461,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engineIncarnation);
+          this->__isset.engineIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2482,6 +2494,10 @@
   xfer += oprot->writeString(this->endpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("engineIncarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->engineIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2491,17 +2507,20 @@
   using ::std::swap;
   swap(a.requestDigest, b.requestDigest);
   swap(a.endpoint, b.endpoint);
+  swap(a.engineIncarnation, b.engineIncarnation);
   swap(a.__isset, b.__isset);
 }
 
 SuspectReport::SuspectReport(const SuspectReport& other44) {
   requestDigest = other44.requestDigest;
   endpoint = other44.endpoint;
+  engineIncarnation = other44.engineIncarnation;
   __isset = other44.__isset;
 }
 SuspectReport& SuspectReport::operator=(const SuspectReport& other45) {
   requestDigest = other45.requestDigest;
   endpoint = other45.endpoint;
+  engineIncarnation = other45.engineIncarnation;
   __isset = other45.__isset;
   return *this;
 }
@@ -2510,6 +2529,7 @@
   out << "SuspectReport(";
   out << "requestDigest=" << to_string(requestDigest);
   out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "engineIncarnation=" << to_string(engineIncarnation);
   out << ")";
 }
 
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -1070,11 +1070,15 @@
 std::ostream& operator<<(std::ostream& out, const GiveBack& obj);
 
 typedef struct _SuspectReport__isset {
-  _SuspectReport__isset() : requestDigest(false), endpoint(false) {}
+  _SuspectReport__isset() : requestDigest(false), endpoint(false), engineIncarnation(false) {}
   bool requestDigest :1;
   bool endpoint :1;
+  bool engineIncarnation :1;
 } _SuspectReport__isset;
 
+/**
+ * An engine crashed while it ran a request. All requests that one crash took down name the same crash.
+ */
 class SuspectReport : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1082,12 +1086,14 @@
   SuspectReport& operator=(const SuspectReport&);
   SuspectReport() noexcept
                 : requestDigest(0),
-                  endpoint() {
+                  endpoint(),
+                  engineIncarnation(0) {
   }
 
   virtual ~SuspectReport() noexcept;
   int64_t requestDigest;
   std::string endpoint;
+  int64_t engineIncarnation;
 
   _SuspectReport__isset __isset;
 
@@ -1095,12 +1101,16 @@
 
   void __set_endpoint(const std::string& val);
 
+  void __set_engineIncarnation(const int64_t val);
+
   bool operator == (const SuspectReport & rhs) const
   {
     if (!(requestDigest == rhs.requestDigest))
       return false;
     if (!(endpoint == rhs.endpoint))
       return false;
+    if (!(engineIncarnation == rhs.engineIncarnation))
+      return false;
     return true;
   }
   bool operator != (const SuspectReport &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -115,9 +115,11 @@
   3: i64 tokens
 }
 
+/** An engine crashed while it ran a request. All requests that one crash took down name the same crash. */
 struct SuspectReport {
   1: i64 requestDigest
   2: string endpoint
+  3: i64 engineIncarnation
 }
 
 struct TimelineQuestion {
--- a/servers/fleetstatereader.cpp
+++ b/servers/fleetstatereader.cpp
@@ -94,8 +94,8 @@
     state->m_roster.previousMembers = document.value("previousRoster", std::vector<std::string>());
     state->m_daemons = document.value("daemons", std::map<std::string, std::string>());
     for (const auto &item : document.at("accounts").items()) {
-        state->m_accounts[item.key()] =
-            Account{item.key(), item.value().at("tokensPerSecond").get<double>(), item.value().at("burstTokens").get<double>()};
+        state->m_accounts[item.key()]
+            = Account{item.key(), item.value().at("tokensPerSecond").get<double>(), item.value().at("burstTokens").get<double>()};
     }
     for (const auto &item : document.at("keys").items()) {
         const Key key{item.key(), item.value().at("account").get<std::string>(), item.value().value("isWithdrawn", false)};
@@ -103,8 +103,8 @@
         state->m_keysByDigest[item.value().at("sha256").get<std::string>()] = key;
     }
     for (const auto &item : document.at("routes").items()) {
-        state->m_routes[item.key()] =
-            Route{item.key(), routeKindFromName(item.value().at("kind").get<std::string>()), item.value().at("pool").get<std::string>()};
+        state->m_routes[item.key()]
+            = Route{item.key(), routeKindFromName(item.value().at("kind").get<std::string>()), item.value().at("pool").get<std::string>()};
     }
     for (const auto &item : document.at("endpoints").items()) {
         Endpoint endpoint;
--- a/servers/freshnessguard.cpp
+++ b/servers/freshnessguard.cpp
@@ -17,7 +17,6 @@
     return count / 2 + 1;
 }
 
-
 std::optional<TimePoint> latest(std::optional<TimePoint> first, std::optional<TimePoint> second)
 {
     if (!first.has_value() || !second.has_value()) {
--- a/servers/promptchain.cpp
+++ b/servers/promptchain.cpp
@@ -23,7 +23,8 @@
     return hashCombine(seed, hashBytes(scope.weights, 4));
 }
 
-PromptChain buildPromptChain(const ChainScope &scope, const std::vector<std::string> &messages, std::size_t pieceBytes, double bytesPerToken)
+PromptChain buildPromptChain(const ChainScope &scope, const std::vector<std::string> &messages, std::size_t pieceBytes,
+                             double bytesPerToken)
 {
     PromptChain chain;
     const std::uint64_t seed = scopeSeed(scope);
--- a/servers/promptchain.h
+++ b/servers/promptchain.h
@@ -39,7 +39,8 @@
  * @param pieceBytes the size of a piece; the last, partial piece has no hash
  * @param bytesPerToken the average size of a token, for the estimate of the prompt's tokens
  */
-PromptChain buildPromptChain(const ChainScope &scope, const std::vector<std::string> &messages, std::size_t pieceBytes, double bytesPerToken);
+PromptChain buildPromptChain(const ChainScope &scope, const std::vector<std::string> &messages, std::size_t pieceBytes,
+                             double bytesPerToken);
 
 /**
  * The hash that decides where a prompt's home is: that of the middle level,
--- a/servers/routingstrategy.cpp
+++ b/servers/routingstrategy.cpp
@@ -61,8 +61,8 @@
 {
     std::optional<ProbeResult> best;
     for (const ProbeResult &answer : answers) {
-        const bool isBetter =
-            !best.has_value() || predictedWait(request, answer, recomputeWeight) < predictedWait(request, *best, recomputeWeight);
+        const bool isBetter
+            = !best.has_value() || predictedWait(request, answer, recomputeWeight) < predictedWait(request, *best, recomputeWeight);
         if (answer.canTakeWork && isBetter) {
             best = answer;
         }
@@ -87,7 +87,8 @@
     std::size_t m_last = 0;
 
 public:
-    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints, const std::vector<ProbeResult> &) override
+    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints,
+                                      const std::vector<ProbeResult> &) override
     {
         for (std::size_t i = 0; i < endpoints.size(); ++i) {
             m_last = (m_last + 1) % endpoints.size();
@@ -102,7 +103,8 @@
 class LeastLoaded : public UnprobedStrategy
 {
 public:
-    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints, const std::vector<ProbeResult> &) override
+    std::optional<std::size_t> choose(const RoutingRequest &, const std::vector<EndpointView> &endpoints,
+                                      const std::vector<ProbeResult> &) override
     {
         return leastLoaded(endpoints);
     }
@@ -263,30 +265,14 @@
 };
 
 const std::array<StrategyEntry, 6> strategies = {{
-    {"round-robin",
-     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
-         return std::make_unique<RoundRobin>();
-     }},
-    {"least-loaded",
-     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
-         return std::make_unique<LeastLoaded>();
-     }},
-    {"hash-only",
-     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
-         return std::make_unique<HashOnly>();
-     }},
+    {"round-robin", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<RoundRobin>(); }},
+    {"least-loaded", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<LeastLoaded>(); }},
+    {"hash-only", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<HashOnly>(); }},
     {"hash-bounded",
-     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> {
-         return std::make_unique<HashBounded>(settings);
-     }},
+     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<HashBounded>(settings); }},
     {"hash-probe",
-     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> {
-         return std::make_unique<HashProbe>(settings);
-     }},
-    {"greedy-full",
-     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
-         return std::make_unique<GreedyFull>();
-     }},
+     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<HashProbe>(settings); }},
+    {"greedy-full", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<GreedyFull>(); }},
 }};
 
 }
--- a/servers/routingstrategy.h
+++ b/servers/routingstrategy.h
@@ -57,11 +57,13 @@
      */
     virtual std::vector<std::size_t> nextProbes(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
                                                 const std::vector<std::size_t> &probed, const std::vector<ProbeResult> &answers,
-                                                Random &random) = 0;
+                                                Random &random)
+        = 0;
 
     /** The endpoint for the request; nothing when none can take it. */
     virtual std::optional<std::size_t> choose(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
-                                              const std::vector<ProbeResult> &answers) = 0;
+                                              const std::vector<ProbeResult> &answers)
+        = 0;
 };
 
 /** Tunes the strategies that look at hashes and probes. */
--- a/servers/suspectlist.cpp
+++ b/servers/suspectlist.cpp
@@ -5,7 +5,7 @@
 namespace citronspar
 {
 
-SuspectList::SuspectList(int maxCrashes, Duration blockTime, std::size_t capacity)
+SuspectList::SuspectList(std::size_t maxCrashes, Duration blockTime, std::size_t capacity)
     : m_maxCrashes(maxCrashes)
     , m_blockTime(blockTime)
     , m_capacity(capacity)
@@ -26,27 +26,21 @@
     m_suspects.erase(oldest);
 }
 
-int SuspectList::addCrash(std::uint64_t digest, TimePoint now)
+std::size_t SuspectList::addCrash(std::uint64_t digest, std::uint64_t crash, TimePoint now)
 {
     expire(now);
     Suspect &suspect = m_suspects[digest];
-    ++suspect.crashes;
+    if (suspect.crashes.size() < m_maxCrashes) {
+        suspect.crashes.insert(crash);
+    }
     suspect.lastCrash = now;
-    return suspect.crashes;
-}
-
-void SuspectList::learn(std::uint64_t digest, int crashes, TimePoint now)
-{
-    expire(now);
-    Suspect &suspect = m_suspects[digest];
-    suspect.crashes = std::max(suspect.crashes, crashes);
-    suspect.lastCrash = std::max(suspect.lastCrash, now);
+    return suspect.crashes.size();
 }
 
 bool SuspectList::isBlocked(std::uint64_t digest, TimePoint now) const
 {
     const auto found = m_suspects.find(digest);
-    return found != m_suspects.end() && found->second.crashes >= m_maxCrashes && now - found->second.lastCrash <= m_blockTime;
+    return found != m_suspects.end() && found->second.crashes.size() >= m_maxCrashes && now - found->second.lastCrash <= m_blockTime;
 }
 
 bool SuspectList::isSuspect(std::uint64_t digest, TimePoint now) const
--- a/servers/suspectlist.h
+++ b/servers/suspectlist.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace citronspar
 {
@@ -18,25 +19,27 @@
 private:
     struct Suspect
     {
-        int crashes = 0;
+        /** Each crash once, however many copies of the request it took down. */
+        std::set<std::uint64_t> crashes;
         TimePoint lastCrash{};
     };
 
     std::map<std::uint64_t, Suspect> m_suspects;
-    int m_maxCrashes;
+    std::size_t m_maxCrashes;
     Duration m_blockTime;
     std::size_t m_capacity;
 
     void expire(TimePoint now);
 
 public:
-    SuspectList(int maxCrashes, Duration blockTime, std::size_t capacity);
-
-    /** An engine crashed while it ran the request with @p digest; returns the crashes counted so far. */
-    int addCrash(std::uint64_t digest, TimePoint now);
-
-    /** A peer counted @p crashes; the higher count holds. */
-    void learn(std::uint64_t digest, int crashes, TimePoint now);
+    SuspectList(std::size_t maxCrashes, Duration blockTime, std::size_t capacity);
+
+    /**
+     * An engine crashed while it ran the request with @p digest.
+     * @param crash names the crash, so that it counts once
+     * @return the crashes counted so far
+     */
+    std::size_t addCrash(std::uint64_t digest, std::uint64_t crash, TimePoint now);
 
     bool isBlocked(std::uint64_t digest, TimePoint now) const;
 
--- a/tests/fakes/fakeengine.cpp
+++ b/tests/fakes/fakeengine.cpp
@@ -108,9 +108,7 @@
         stream.end = request.value("max_tokens", std::int64_t(16));
         const double wait = static_cast<double>(std::max<std::int64_t>(missing, 0)) / prefillTokensPerSecond;
         m_server.beginStream(id, 200, "text/event-stream");
-        m_loop.timers().subscribeOnce(fromSeconds(wait), [this, id, stream](TimePoint) {
-            m_streams[id] = stream;
-        });
+        m_loop.timers().subscribeOnce(fromSeconds(wait), [this, id, stream](TimePoint) { m_streams[id] = stream; });
     }
 
     void writeToken(HttpServer::ExchangeId id, Stream &stream)
@@ -132,9 +130,7 @@
     {
         std::random_device device;
         m_incarnation = static_cast<std::int64_t>(device()) + 1;
-        loop.timers().subscribe(tokenPeriod, [this](TimePoint) {
-            step();
-        });
+        loop.timers().subscribe(tokenPeriod, [this](TimePoint) { step(); });
     }
 
     void step()
@@ -200,21 +196,15 @@
     }
     Loop loop;
     runningLoop = &loop;
-    std::signal(SIGTERM, [](int) {
-        runningLoop->stop();
-    });
+    std::signal(SIGTERM, [](int) { runningLoop->stop(); });
     HttpServer server(loop, HttpServer::Limits{64U * 1024 * 1024, 4096});
     FakeEngine engine(loop, server, argv[2]);
     if (!server.open(parseSocketAddress(argv[1]))) {
         std::cerr << "fakeengine: can't listen on " << argv[1] << "\n";
         return EXIT_FAILURE;
     }
-    server.onRequest([&engine](HttpServer::ExchangeId id, const HttpRequest &request) {
-        engine.handle(id, request);
-    });
-    server.onGone([&engine](HttpServer::ExchangeId id) {
-        engine.gone(id);
-    });
+    server.onRequest([&engine](HttpServer::ExchangeId id, const HttpRequest &request) { engine.handle(id, request); });
+    server.onGone([&engine](HttpServer::ExchangeId id) { engine.gone(id); });
     loop.run();
     return EXIT_SUCCESS;
 }
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -23,8 +23,12 @@
 
 nlohmann::json goodDocument()
 {
-    return {{"role", "entry"},           {"daemon", "entry-1"},        {"zone", "dar-a"},
-            {"httpListen", "127.0.0.1:1"}, {"peerListen", "127.0.0.1:2"}, {"table", "127.0.0.1:3"},
+    return {{"role", "entry"},
+            {"daemon", "entry-1"},
+            {"zone", "dar-a"},
+            {"httpListen", "127.0.0.1:1"},
+            {"peerListen", "127.0.0.1:2"},
+            {"table", "127.0.0.1:3"},
             {"fleetSecret", "0123456789abcdef"}};
 }
 
--- a/tests/servers/atmostonce_test.cpp
+++ b/tests/servers/atmostonce_test.cpp
@@ -83,9 +83,7 @@
         const bool isPaused = m_world.m_schedule.chance(0.1);
         const Duration pause = isPaused ? m_world.m_schedule.pickDuration(std::chrono::seconds(1), std::chrono::seconds(8)) : Duration(50);
         const std::shared_ptr<EndpointActor> self = shared_from_this();
-        m_world.m_schedule.after(pause, [self, step]() {
-            step();
-        });
+        m_world.m_schedule.after(pause, [self, step]() { step(); });
     }
 
     void handOver()
@@ -109,13 +107,14 @@
         if (const StartGate::WriteRow *write = std::get_if<StartGate::WriteRow>(&action)) {
             const StartGate::WriteRow copy = *write;
             later([this, copy]() {
-                m_world.m_table.write(claimKey, copy.expectedRevision, copy.row, [this, self = shared_from_this()](TableOutcome outcome, auto row) {
-                    if (outcome == TableOutcome::Unknown && m_world.m_defect == Defect::HandOverWhenUnknown) {
-                        handOver();
-                        return;
-                    }
-                    act(m_gate.writeEnded(outcome, StoredClaim{row.revision, row.value}, m_world.m_schedule.now()));
-                });
+                m_world.m_table.write(claimKey, copy.expectedRevision, copy.row,
+                                      [this, self = shared_from_this()](TableOutcome outcome, auto row) {
+                                          if (outcome == TableOutcome::Unknown && m_world.m_defect == Defect::HandOverWhenUnknown) {
+                                              handOver();
+                                              return;
+                                          }
+                                          act(m_gate.writeEnded(outcome, StoredClaim{row.revision, row.value}, m_world.m_schedule.now()));
+                                      });
             });
         } else if (std::holds_alternative<StartGate::ReadRow>(action)) {
             m_world.m_table.read(claimKey, [this, self = shared_from_this()](auto row) {
@@ -171,9 +170,8 @@
         const std::shared_ptr<EndpointActor> endpoint = std::make_shared<EndpointActor>(
             m_world, attempt, revision,
             [self, attempt](ErrorKind kind) {
-                self->deliver([self, attempt, kind]() {
-                    self->act(self->m_flow.dispatchRefused(attempt, kind, self->m_world.m_schedule.now()));
-                });
+                self->deliver(
+                    [self, attempt, kind]() { self->act(self->m_flow.dispatchRefused(attempt, kind, self->m_world.m_schedule.now())); });
             },
             [self, attempt](const std::string &answer) {
                 self->deliver([self, attempt, answer]() {
@@ -185,13 +183,10 @@
                 });
             });
         if (!schedule.chance(0.05)) {
-            schedule.after(schedule.pickDuration(Duration(500), std::chrono::milliseconds(5)), [endpoint]() {
-                endpoint->start();
-            });
+            schedule.after(schedule.pickDuration(Duration(500), std::chrono::milliseconds(5)), [endpoint]() { endpoint->start(); });
         }
-        schedule.after(schedule.pickDuration(std::chrono::milliseconds(200), std::chrono::seconds(3)), [self, attempt]() {
-            self->lose(attempt);
-        });
+        schedule.after(schedule.pickDuration(std::chrono::milliseconds(200), std::chrono::seconds(3)),
+                       [self, attempt]() { self->lose(attempt); });
     }
 
     /** Contact is lost, so the entry daemon gives the attempt up. */
@@ -264,11 +259,7 @@
     explicit EntryActor(World &world)
         : m_world(world)
         , m_flow(
-              ClaimFlow::Settings(),
-              [&world]() {
-                  return world.nextId();
-              },
-              7, world.m_schedule.now() + std::chrono::seconds(15))
+              ClaimFlow::Settings(), [&world]() { return world.nextId(); }, 7, world.m_schedule.now() + std::chrono::seconds(15))
     {
         world.m_calls.push_back(m_record);
     }
@@ -292,18 +283,14 @@
     Schedule &schedule = world.m_schedule;
     const std::int64_t repeats = schedule.pick(1, 4);
     for (std::int64_t i = 0; i < repeats; ++i) {
-        schedule.after(schedule.pickDuration(Duration(0), std::chrono::seconds(6)), [&world]() {
-            std::make_shared<EntryActor>(world)->start();
-        });
+        schedule.after(schedule.pickDuration(Duration(0), std::chrono::seconds(6)),
+                       [&world]() { std::make_shared<EntryActor>(world)->start(); });
     }
     if (schedule.chance(0.5)) {
         const Duration start = schedule.pickDuration(Duration(0), std::chrono::seconds(8));
-        schedule.after(start, [&world]() {
-            world.m_table.setDown(true);
-        });
-        schedule.after(start + schedule.pickDuration(std::chrono::seconds(1), std::chrono::seconds(30)), [&world]() {
-            world.m_table.setDown(false);
-        });
+        schedule.after(start, [&world]() { world.m_table.setDown(true); });
+        schedule.after(start + schedule.pickDuration(std::chrono::seconds(1), std::chrono::seconds(30)),
+                       [&world]() { world.m_table.setDown(false); });
     }
     schedule.run(std::chrono::minutes(15));
     Verdict verdict;
@@ -311,7 +298,8 @@
     for (const std::shared_ptr<World::CallRecord> &call : world.m_calls) {
         verdict.calls += 1;
         verdict.answered += call->isAnswered ? 1 : 0;
-        const bool isWrongAnswer = call->isAnswered && (world.m_runs.empty() || call->answer != "answer to " + world.m_runs.front().toString());
+        const bool isWrongAnswer
+            = call->isAnswered && (world.m_runs.empty() || call->answer != "answer to " + world.m_runs.front().toString());
         const bool saysNotRun = call->failure.has_value() && errorAnswer(*call->failure).runState == RunState::NotRun;
         const bool hasRun = !world.m_runs.empty() && call->attempts.count(world.m_runs.front()) > 0;
         if (isWrongAnswer || (saysNotRun && hasRun)) {
@@ -330,9 +318,7 @@
 
 TEST_CASE("[AtMostOnce] Work runs at most once and a refusal that says not run is true")
 {
-    const std::uint64_t failing = findFailingSeed(Seeds(2000), [](std::uint64_t seed) {
-        return isHolding(seed, Defect::None);
-    });
+    const std::uint64_t failing = findFailingSeed(Seeds(2000), [](std::uint64_t seed) { return isHolding(seed, Defect::None); });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
 }
@@ -352,9 +338,7 @@
 TEST_CASE("[AtMostOnce] The checker notices each broken version")
 {
     const Defect defect = GENERATE(Defect::ResendWhenLost, Defect::HandOverWhenUnknown, Defect::SkipStart, Defect::CallLostNotRun);
-    const std::uint64_t failing = findFailingSeed(Seeds(2000), [defect](std::uint64_t seed) {
-        return isHolding(seed, defect);
-    });
+    const std::uint64_t failing = findFailingSeed(Seeds(2000), [defect](std::uint64_t seed) { return isHolding(seed, defect); });
     INFO("defect " << static_cast<int>(defect));
     CHECK(failing != 0);
 }
--- a/tests/servers/blockindex_test.cpp
+++ b/tests/servers/blockindex_test.cpp
@@ -105,9 +105,8 @@
 TEST_CASE("[BlockIndex] It claims no block that the engine lacked when its last event was sent")
 {
     const std::uint64_t failing = findFailingSeed(Seeds(1000), [](std::uint64_t seed) {
-        return !isEverWrong(seed, [](const BlockIndex &index, const NaiveIndex &, std::uint64_t block) {
-            return index.cachedPrefix({block}) == 1;
-        });
+        return !isEverWrong(
+            seed, [](const BlockIndex &index, const NaiveIndex &, std::uint64_t block) { return index.cachedPrefix({block}) == 1; });
     });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
@@ -115,15 +114,13 @@
 
 TEST_CASE("[BlockIndex] The checker notices the naive version")
 {
-    CHECK(isEverWrong(1, [](const BlockIndex &, const NaiveIndex &naive, std::uint64_t block) {
-        return naive.has(block);
-    }));
+    CHECK(isEverWrong(1, [](const BlockIndex &, const NaiveIndex &naive, std::uint64_t block) { return naive.has(block); }));
 }
 
 TEST_CASE("[PromptChain] No hash is shared across client accounts, models, adapters or weights")
 {
     const std::vector<std::string> messages = {std::string(300, 'a'), std::string(300, 'b'), "question"};
-    const std::vector<ChainScope> scopes = {{"mill-a", "m", "", "w1"}, {"mill-b", "m", "", "w1"}, {"mill-a", "n", "", "w1"},
+    const std::vector<ChainScope> scopes = {{"mill-a", "m", "", "w1"},  {"mill-b", "m", "", "w1"}, {"mill-a", "n", "", "w1"},
                                             {"mill-a", "m", "x", "w1"}, {"mill-a", "m", "", "w2"}, {"mill-am", "", "", "w1"}};
     std::set<std::uint64_t> hashes;
     std::size_t count = 0;
--- a/tests/servers/dispatchgate_test.cpp
+++ b/tests/servers/dispatchgate_test.cpp
@@ -48,18 +48,19 @@
 
 TEST_CASE("[DispatchGate] It refuses what no longer holds, and nothing else")
 {
-    const Case example = GENERATE(Case{std::nullopt, [](DispatchTerms &, EndpointCondition &) {}},
-                                  Case{ErrorKind::EndpointLeaving, [](DispatchTerms &, EndpointCondition &c) { c.isLeaving = true; }},
-                                  Case{ErrorKind::NotFresh, [](DispatchTerms &, EndpointCondition &c) { c.isFresh = false; }},
-                                  Case{ErrorKind::NotFresh, [](DispatchTerms &t, EndpointCondition &) { t.configVersion = 6; }},
-                                  Case{ErrorKind::DeadlinePassed, [](DispatchTerms &t, EndpointCondition &) { t.timeLeft = Duration::zero(); }},
-                                  Case{ErrorKind::RequestBlocked, [](DispatchTerms &, EndpointCondition &c) { c.isBlocked = true; }},
-                                  Case{ErrorKind::Overloaded, [](DispatchTerms &, EndpointCondition &c) { c.queuedTokens = 1000000; }},
-                                  Case{ErrorKind::KeyRejected, [](DispatchTerms &t, EndpointCondition &) { t.keyId = "unknown"; }},
-                                  Case{ErrorKind::KeyRejected, [](DispatchTerms &t, EndpointCondition &) { t.account = "mill-b"; }},
-                                  Case{ErrorKind::NoEndpoint, [](DispatchTerms &, EndpointCondition &c) { c.isEngineUp = false; }},
-                                  Case{ErrorKind::EngineRestarted, [](DispatchTerms &t, EndpointCondition &) { t.engineIncarnation = 8; }},
-                                  Case{ErrorKind::WeightsChanged, [](DispatchTerms &t, EndpointCondition &) { t.weights = "w0"; }});
+    const Case example
+        = GENERATE(Case{std::nullopt, [](DispatchTerms &, EndpointCondition &) {}},
+                   Case{ErrorKind::EndpointLeaving, [](DispatchTerms &, EndpointCondition &c) { c.isLeaving = true; }},
+                   Case{ErrorKind::NotFresh, [](DispatchTerms &, EndpointCondition &c) { c.isFresh = false; }},
+                   Case{ErrorKind::NotFresh, [](DispatchTerms &t, EndpointCondition &) { t.configVersion = 6; }},
+                   Case{ErrorKind::DeadlinePassed, [](DispatchTerms &t, EndpointCondition &) { t.timeLeft = Duration::zero(); }},
+                   Case{ErrorKind::RequestBlocked, [](DispatchTerms &, EndpointCondition &c) { c.isBlocked = true; }},
+                   Case{ErrorKind::Overloaded, [](DispatchTerms &, EndpointCondition &c) { c.queuedTokens = 1000000; }},
+                   Case{ErrorKind::KeyRejected, [](DispatchTerms &t, EndpointCondition &) { t.keyId = "unknown"; }},
+                   Case{ErrorKind::KeyRejected, [](DispatchTerms &t, EndpointCondition &) { t.account = "mill-b"; }},
+                   Case{ErrorKind::NoEndpoint, [](DispatchTerms &, EndpointCondition &c) { c.isEngineUp = false; }},
+                   Case{ErrorKind::EngineRestarted, [](DispatchTerms &t, EndpointCondition &) { t.engineIncarnation = 8; }},
+                   Case{ErrorKind::WeightsChanged, [](DispatchTerms &t, EndpointCondition &) { t.weights = "w0"; }});
     DispatchTerms terms = goodTerms();
     EndpointCondition condition = goodCondition();
     example.change(terms, condition);
@@ -75,9 +76,12 @@
 {
     FleetStateReader reader;
     CHECK(reader.read(1, nlohmann::json::object()) == nullptr);
-    nlohmann::json document = {{"roster", {"a"}}, {"accounts", {{"x", {{"tokensPerSecond", "fast"}, {"burstTokens", 1}}}}},
-                               {"keys", nlohmann::json::object()}, {"routes", nlohmann::json::object()},
-                               {"endpoints", nlohmann::json::object()}, {"holders", nlohmann::json::object()}};
+    nlohmann::json document = {{"roster", {"a"}},
+                               {"accounts", {{"x", {{"tokensPerSecond", "fast"}, {"burstTokens", 1}}}}},
+                               {"keys", nlohmann::json::object()},
+                               {"routes", nlohmann::json::object()},
+                               {"endpoints", nlohmann::json::object()},
+                               {"holders", nlohmann::json::object()}};
     CHECK(reader.read(1, document) == nullptr);
     CHECK(reader.lastReason().find("tokensPerSecond") != std::string::npos);
     document["accounts"] = nlohmann::json::object();
--- a/tests/servers/limitholder_test.cpp
+++ b/tests/servers/limitholder_test.cpp
@@ -129,7 +129,8 @@
 
     bool canGrant(const Holder &holder) const
     {
-        return !holder.isCrashed && holder.decisions.isActive() && m_schedule.now() < holder.stopsAt && m_schedule.now() >= holder.pausedUntil;
+        return !holder.isCrashed && holder.decisions.isActive() && m_schedule.now() < holder.stopsAt
+            && m_schedule.now() >= holder.pausedUntil;
     }
 
     /** The new holder takes the row over under its epoch; only then does it begin. */
@@ -143,9 +144,7 @@
             }
         }
         const Duration wait = m_defect == Defect::StartAtOnce ? Duration::zero() : maxAge;
-        m_schedule.after(wait, [this, holder, epoch]() {
-            claimRow(holder, epoch);
-        });
+        m_schedule.after(wait, [this, holder, epoch]() { claimRow(holder, epoch); });
     }
 
     void claimRow(const std::shared_ptr<Holder> &holder, std::int64_t epoch)
@@ -180,9 +179,7 @@
             holder->written = *row;
             settleWrite(holder);
         }
-        m_schedule.after(std::chrono::milliseconds(100), [this, holder]() {
-            writeFloors(holder);
-        });
+        m_schedule.after(std::chrono::milliseconds(100), [this, holder]() { writeFloors(holder); });
     }
 
     void settleWrite(const std::shared_ptr<Holder> &holder)
@@ -240,9 +237,8 @@
         request(static_cast<double>(m_schedule.pick(1, 60)));
         // The mean request is 30 tokens, so that the load is a multiple of the rate.
         const double meanGap = 30.0 / (rate * load);
-        m_schedule.after(fromSeconds(meanGap * static_cast<double>(m_schedule.pick(1, 200)) / 100.0), [this, load]() {
-            requestLoop(load);
-        });
+        m_schedule.after(fromSeconds(meanGap * static_cast<double>(m_schedule.pick(1, 200)) / 100.0),
+                         [this, load]() { requestLoop(load); });
     }
 
     void disturb(std::int64_t epoch)
@@ -278,9 +274,7 @@
 
     void run(Duration duration, double load)
     {
-        m_schedule.after(std::chrono::seconds(5), [this, load]() {
-            requestLoop(load);
-        });
+        m_schedule.after(std::chrono::seconds(5), [this, load]() { requestLoop(load); });
         m_schedule.run(duration);
     }
 
@@ -306,9 +300,7 @@
 
 TEST_CASE("[LimitHolder] No window holds more than rate and burst, whatever happens to the holders")
 {
-    const std::uint64_t failing = findFailingSeed(Seeds(1000), [](std::uint64_t seed) {
-        return isHolding(seed, Defect::None);
-    });
+    const std::uint64_t failing = findFailingSeed(Seeds(1000), [](std::uint64_t seed) { return isHolding(seed, Defect::None); });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
 }
@@ -316,9 +308,7 @@
 TEST_CASE("[LimitHolder] The checker notices each broken version")
 {
     const Defect defect = GENERATE(Defect::StartFull, Defect::StartAtOnce, Defect::ForgetLostWrite);
-    const std::uint64_t failing = findFailingSeed(Seeds(1000), [defect](std::uint64_t seed) {
-        return isHolding(seed, defect);
-    });
+    const std::uint64_t failing = findFailingSeed(Seeds(1000), [defect](std::uint64_t seed) { return isHolding(seed, defect); });
     INFO("defect " << static_cast<int>(defect));
     CHECK(failing != 0);
 }
@@ -349,7 +339,8 @@
         total.evenSplit += world.refusals().evenSplit;
         total.ideal += world.refusals().ideal;
     }
-    WARN("requests " << total.requests << " refused: ours " << total.ours << ", even split " << total.evenSplit << ", one bucket " << total.ideal);
+    WARN("requests " << total.requests << " refused: ours " << total.ours << ", even split " << total.evenSplit << ", one bucket "
+                     << total.ideal);
 }
 
 TEST_CASE("[LimitHolder] A reservation is refused with the time after which it fits")
