--- a/bench/benchengine.cpp
+++ b/bench/benchengine.cpp
@@ -173,7 +173,9 @@
     for (const std::pair<const AttemptId, EngineWork> &entry : lost) {
         m_schedule.after(std::chrono::milliseconds(1), entry.second.onCrash);
     }
-    m_schedule.after(downTime, [this]() { m_isUp = true; });
+    m_schedule.after(downTime, [this]() {
+        m_isUp = true;
+    });
 }
 
 }
--- a/bench/capacitybench.cpp
+++ b/bench/capacitybench.cpp
@@ -24,6 +24,7 @@
 #include <cstring>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
     double microseconds = 0;
     /** Bytes of one operation's messages or of the row it writes. */
     double messageBytes = 0;
+    /** Rows that are written to the table. */
+    double writesPerSecond = 0;
 };
 
 double heapBytes()
@@ -94,7 +97,9 @@
     std::shared_ptr<const FleetState> state;
     Point point;
     point.size = size;
-    point.microseconds = microsecondsPer(1, [&]() { state = reader.read(1, document); });
+    point.microseconds = microsecondsPer(1, [&]() {
+        state = reader.read(1, document);
+    });
     point.bytes = heapBytes() - before;
     point.messageBytes = static_cast<double>(document.dump().size());
     return point;
@@ -178,7 +183,45 @@
     holder.writeCommitted();
     Point point;
     point.size = size;
-    point.microseconds = microsecondsPer(2000, [&]() { holder.nextWrite(start); });
+    point.microseconds = microsecondsPer(2000, [&]() {
+        holder.nextWrite(start);
+    });
+    return point;
+}
+
+/** Floors written in half an hour: each account has bursts of requests and uses 60% of its rate on average. */
+Point measureFloorWrites(double size)
+{
+    constexpr double rate = 1000;
+    constexpr double burst = 20000;
+    constexpr double requestTokens = 2000;
+    constexpr int seconds = 1800;
+    TimePoint now{std::chrono::hours(1)};
+    LimitHolder holder{LimitHolder::Settings()};
+    holder.begin(LimitRow{1, {}}, now);
+    for (int i = 0; i < static_cast<int>(size); ++i) {
+        holder.setAccount("account-" + std::to_string(i), rate, burst, now);
+    }
+    std::mt19937_64 random(1);
+    std::poisson_distribution<int> requests(0.6 * rate / requestTokens);
+    std::int64_t number = 0;
+    std::int64_t writes = 0;
+    for (int tick = 0; tick < seconds * 5; ++tick) {
+        now += std::chrono::milliseconds(200);
+        for (int i = 0; tick % 5 == 0 && i < static_cast<int>(size); ++i) {
+            for (int count = requests(random); count > 0; --count) {
+                holder.reserve("account-" + std::to_string(i), std::to_string(++number), requestTokens, now);
+            }
+        }
+        if (holder.nextWrite(now).has_value()) {
+            holder.writeCommitted();
+            ++writes;
+        }
+        holder.expire(now);
+    }
+    Point point;
+    point.size = size;
+    point.writesPerSecond = static_cast<double>(writes) / seconds;
     return point;
 }
 
@@ -316,7 +359,9 @@
     const std::string prompt(static_cast<std::size_t>(size), 'p');
     Point point;
     point.size = size;
-    point.microseconds = microsecondsPer(200, [&]() { buildPromptChain(ChainScope{"a", "m", "", "w"}, {prompt}, 16384, 4); });
+    point.microseconds = microsecondsPer(200, [&]() {
+        buildPromptChain(ChainScope{"a", "m", "", "w"}, {prompt}, 16384, 4);
+    });
     return point;
 }
 
@@ -329,11 +374,12 @@
     std::array<double, 4> sizes;
 };
 
-const std::array<Part, 10> parts = {{
+const std::array<Part, 11> parts = {{
     {"fleet state", "accounts with a key", measureFleetState, {2000, 5000, 10000, 20000}},
     {"freshness", "roster members asked", measureRoster, {3, 7, 15, 31}},
     {"limits", "accounts in shard", measureLimits, {20, 60, 100, 200}},
     {"floor pass", "accounts in shard", measureFloorPass, {20, 60, 100, 200}},
+    {"floor writes", "accounts in shard", measureFloorWrites, {20, 60, 100, 200}},
     {"block index", "blocks of the engine", measureBlockIndex, {10000, 30000, 60000, 100000}},
     {"routing", "endpoints of the pool", measureRouting, {270, 700, 1400, 2700}},
     {"probe", "blocks of the prompt", measureProbe, {2, 7, 14, 28}},
@@ -364,17 +410,17 @@
 
 int main()
 {
-    std::printf("%-13s %-22s %9s %12s %12s %12s\n", "part", "size in", "size", "state B", "us each", "message B");
+    std::printf("%-13s %-22s %9s %12s %12s %12s %12s\n", "part", "size in", "size", "state B", "us each", "message B", "writes/s");
     for (const Part &part : parts) {
         std::array<Point, 4> points;
         for (std::size_t i = 0; i < points.size(); ++i) {
             points[i] = part.measure(part.sizes[i]);
             const Point &point = points[i];
-            std::printf("%-13s %-22s %9.0f %12.0f %12.3f %12.0f\n", part.name, part.unit, point.size, point.bytes, point.microseconds,
-                        point.messageBytes);
+            std::printf("%-13s %-22s %9.0f %12.0f %12.3f %12.0f %12.4f\n", part.name, part.unit, point.size, point.bytes,
+                        point.microseconds, point.messageBytes, point.writesPerSecond);
         }
-        std::printf("%-13s slope per unit %29.2f %12.5f %12.2f\n", part.name, slope(points, &Point::bytes),
-                    slope(points, &Point::microseconds), slope(points, &Point::messageBytes));
+        std::printf("%-13s slope per unit %29.2f %12.5f %12.2f %12.5f\n", part.name, slope(points, &Point::bytes),
+                    slope(points, &Point::microseconds), slope(points, &Point::messageBytes), slope(points, &Point::writesPerSecond));
     }
     return 0;
 }
--- a/bench/routingbench.cpp
+++ b/bench/routingbench.cpp
@@ -111,7 +111,9 @@
                 }
             }
         });
-        m_schedule.after(loadPeriod, [this]() { reportLoads(); });
+        m_schedule.after(loadPeriod, [this]() {
+            reportLoads();
+        });
     }
 
     ProbeResult probe(std::size_t engine, const TraceRequest &request) const
@@ -161,13 +163,17 @@
             for (const std::size_t endpoint : next) {
                 all.push_back(probe(endpoint, request));
             }
-            m_schedule.after(oneWay, [this, request, entryIndex, probed, all]() { probeNext(request, entryIndex, probed, all); });
+            m_schedule.after(oneWay, [this, request, entryIndex, probed, all]() {
+                probeNext(request, entryIndex, probed, all);
+            });
         });
     }
 
     void retry(const TraceRequest &request, std::size_t entryIndex)
     {
-        m_schedule.after(std::chrono::milliseconds(10), [this, request, entryIndex]() { place(request, entryIndex); });
+        m_schedule.after(std::chrono::milliseconds(10), [this, request, entryIndex]() {
+            place(request, entryIndex);
+        });
     }
 
     void dispatch(const TraceRequest &request, std::size_t entryIndex, std::size_t engine)
@@ -178,9 +184,15 @@
         work.blocks = request.blocks;
         work.promptTokens = request.promptTokens;
         work.outputTokens = request.outputTokens;
-        work.onFirstToken = [this, request, engine](std::int64_t cachedBlocks) { record(request, engine, cachedBlocks); };
-        work.onCrash = [this, request, entryIndex]() { retry(request, entryIndex); };
-        m_schedule.after(m_settings.oneWay, [this, work, engine]() { m_engines[engine]->submit(work); });
+        work.onFirstToken = [this, request, engine](std::int64_t cachedBlocks) {
+            record(request, engine, cachedBlocks);
+        };
+        work.onCrash = [this, request, entryIndex]() {
+            retry(request, entryIndex);
+        };
+        m_schedule.after(m_settings.oneWay, [this, work, engine]() {
+            m_engines[engine]->submit(work);
+        });
     }
 
     void record(const TraceRequest &request, std::size_t engine, std::int64_t cachedBlocks)
@@ -236,8 +248,12 @@
     void planFaults()
     {
         if (m_settings.hasCrash) {
-            m_schedule.after(m_length / 3, [this]() { m_engines[0]->crash(crashDownTime); });
-            m_schedule.after(m_length * 2 / 3, [this]() { m_engines[5]->crash(crashDownTime); });
+            m_schedule.after(m_length / 3, [this]() {
+                m_engines[0]->crash(crashDownTime);
+            });
+            m_schedule.after(m_length * 2 / 3, [this]() {
+                m_engines[5]->crash(crashDownTime);
+            });
         }
         if (m_settings.hasHerd) {
             m_schedule.after(m_length / 2, [this]() {
@@ -273,7 +289,9 @@
         reportLoads();
         planFaults();
         for (std::size_t i = 0; i < trace.size(); ++i) {
-            m_schedule.after(trace[i].arrival - m_start, [this, &trace, i]() { take(trace[i], i); });
+            m_schedule.after(trace[i].arrival - m_start, [this, &trace, i]() {
+                take(trace[i], i);
+            });
         }
         m_schedule.run(m_length + std::chrono::minutes(2));
         return m_result;
@@ -343,16 +361,28 @@
 
 const std::array<Case, 6> cases = {{
     {"steady", [](BenchSettings &) {}},
-    {"shift", [](BenchSettings &settings) { settings.workload.hasShift = true; }},
-    {"crash", [](BenchSettings &settings) { settings.hasCrash = true; }},
-    {"herd", [](BenchSettings &settings) { settings.hasHerd = true; }},
+    {"shift",
+     [](BenchSettings &settings) {
+         settings.workload.hasShift = true;
+     }},
+    {"crash",
+     [](BenchSettings &settings) {
+         settings.hasCrash = true;
+     }},
+    {"herd",
+     [](BenchSettings &settings) {
+         settings.hasHerd = true;
+     }},
     {"late",
      [](BenchSettings &settings) {
          settings.loadLag = std::chrono::seconds(5);
          settings.engine.maxEventDelay = std::chrono::seconds(2);
          settings.engine.lostEvents = 0.01;
      }},
-    {"flood", [](BenchSettings &settings) { settings.workload.hasFlood = true; }},
+    {"flood",
+     [](BenchSettings &settings) {
+         settings.workload.hasFlood = true;
+     }},
 }};
 
 void runCase(const Case &example, BenchSettings settings, int seeds, const std::string &only)
@@ -407,7 +437,9 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("routingbench", argc, argv, options, 0);
-    const ScopeGuard freeContext([context]() { poptFreeContext(context); });
+    const ScopeGuard freeContext([context]() {
+        poptFreeContext(context);
+    });
     const int parsed = poptGetNextOpt(context);
     if (parsed < -1) {
         std::fprintf(stderr, "routingbench: %s: %s\n", poptBadOption(context, 0), poptStrerror(parsed));
--- a/client/main.cpp
+++ b/client/main.cpp
@@ -42,7 +42,9 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("citronspar", argc, argv, options, 0);
-    const ScopeGuard freeContext([context]() { poptFreeContext(context); });
+    const ScopeGuard freeContext([context]() {
+        poptFreeContext(context);
+    });
     poptSetOtherOptionHelp(context, ("[OPTION...] COMMAND\n\n" + CommandReader::help()).c_str());
     const int result = poptGetNextOpt(context);
     if (result < -1) {
--- a/drivers/httpclient.cpp
+++ b/drivers/httpclient.cpp
@@ -67,7 +67,9 @@
     }
     // The failure is reported from the loop, so that the caller knows the id by then.
     if (pending != nullptr) {
-        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) { finish(id, HttpEnd::NotSent); });
+        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) {
+            finish(id, HttpEnd::NotSent);
+        });
     }
     return id;
 }
@@ -83,7 +85,9 @@
     };
     const std::shared_ptr<Collected> collected = std::make_shared<Collected>();
     Handlers handlers;
-    handlers.onHead = [collected](int status, const std::string &) { collected->status = status; };
+    handlers.onHead = [collected](int status, const std::string &) {
+        collected->status = status;
+    };
     handlers.onData = [collected](const std::string &data) {
         if (collected->body.size() + data.size() <= maxCollectedBytes) {
             collected->body += data;
--- a/drivers/peernetwork.cpp
+++ b/drivers/peernetwork.cpp
@@ -93,7 +93,9 @@
     info.opaque_user_data = reinterpret_cast<void *>(id);
     lws *socket = lws_client_connect_via_info(&info);
     if (socket == nullptr) {
-        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) { drop(id); });
+        m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) {
+            drop(id);
+        });
     }
     return id;
 }
--- a/main/configservice.cpp
+++ b/main/configservice.cpp
@@ -34,13 +34,17 @@
     , m_guard(FreshnessGuard::Settings(), core.settings().daemon, Loop::now())
     , m_state(std::make_shared<FleetState>())
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
 }
 
 void ConfigService::start()
 {
     poll(Loop::now());
-    m_core.timers().subscribe(pollPeriod, [this](TimePoint) { poll(Loop::now()); });
+    m_core.timers().subscribe(pollPeriod, [this](TimePoint) {
+        poll(Loop::now());
+    });
 }
 
 void ConfigService::onChange(ChangeHandler handler)
--- a/main/configwriter.cpp
+++ b/main/configwriter.cpp
@@ -109,6 +109,11 @@
         finish(change, ErrorKind::BadRequest, reader.lastReason());
         return;
     }
+    const bool endsRosterChange = before.contains("previousRoster") && !after->contains("previousRoster");
+    if (endsRosterChange && (m_config.state().version() != current || !m_config.isAccepted())) {
+        finish(change, ErrorKind::VersionConflict, "the change of the roster is not accepted yet");
+        return;
+    }
     const std::optional<std::string> rosterError = findRosterError(before, *after);
     if (rosterError.has_value()) {
         finish(change, ErrorKind::BadRequest, *rosterError);
--- a/main/endpointjob.cpp
+++ b/main/endpointjob.cpp
@@ -52,7 +52,18 @@
 
 void EndpointJob::finish()
 {
+    if (m_isFinished) {
+        return;
+    }
     m_isFinished = true;
+    if (m_finishedHandler) {
+        m_finishedHandler();
+    }
+}
+
+void EndpointJob::onFinished(FinishedHandler handler)
+{
+    m_finishedHandler = std::move(handler);
 }
 
 void EndpointJob::credit(std::int64_t)
--- a/main/endpointjob.h
+++ b/main/endpointjob.h
@@ -13,8 +13,12 @@
 /** One attempt at the endpoint daemon, from its dispatch to its end. */
 class EndpointJob
 {
+public:
+    using FinishedHandler = std::function<void()>;
+
 private:
     bool m_isFinished = false;
+    FinishedHandler m_finishedHandler;
 
 protected:
     DaemonCore &m_core;
@@ -51,6 +55,9 @@
     /** The part of the prompt that the engine still has to work through, in tokens. */
     virtual std::int64_t pendingTokens() const;
 
+    /** Called once, when the attempt has ended. */
+    void onFinished(FinishedHandler handler);
+
     bool isFinished() const;
     AttemptId attempt() const;
     PeerNetwork::LinkId link() const;
--- a/main/endpointrole.cpp
+++ b/main/endpointrole.cpp
@@ -20,9 +20,11 @@
 
 const log4cxx::LoggerPtr logger = partLogger("endpoint");
 
-constexpr Duration tickPeriod = std::chrono::milliseconds(20);
 constexpr std::size_t maxSeen = 20000;
 
+// The weight of the newest answer in the average of run times.
+constexpr double runAverageShare = 0.05;
+
 // The engine evicts blocks within seconds to minutes, its events are late by less than that.
 constexpr Duration expectedLife = std::chrono::seconds(20);
 constexpr std::size_t maxExpectedBlocks = 100000;
@@ -48,17 +50,22 @@
     if (!core.settings().engine.empty()) {
         m_engine = std::make_unique<EngineWatch>(core, parseSocketAddress(core.settings().engine));
     }
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
-    m_links.onClosed([this](PeerNetwork::LinkId link) { linkClosed(link); });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
+    m_links.onClosed([this](PeerNetwork::LinkId link) {
+        linkClosed(link);
+    });
 }
 
 bool EndpointRole::open()
 {
     if (m_engine != nullptr) {
-        m_engine->onDown([this]() { m_expected.clear(); });
+        m_engine->onDown([this]() {
+            m_expected.clear();
+        });
         m_engine->start();
     }
-    m_core.timers().subscribe(tickPeriod, [this](TimePoint) { tick(); });
     LOG4CXX_INFO(logger, "stands beside endpoint " << m_core.settings().endpoint);
     return true;
 }
@@ -94,6 +101,28 @@
     return tokens;
 }
 
+std::int64_t EndpointRole::slotWaitTokens() const
+{
+    if (m_running.size() < m_core.settings().maxRunning) {
+        return 0;
+    }
+    // Answers end, and slots come free, at maxRunning per mean run time.
+    const double slotSeconds = m_meanRunSeconds / static_cast<double>(m_core.settings().maxRunning);
+    const double waitSeconds = slotSeconds * static_cast<double>(m_queue.size() + 1);
+    return static_cast<std::int64_t>(waitSeconds * m_core.settings().prefillTokensPerSecond);
+}
+
+void EndpointRole::noteRunEnded(AttemptId attempt)
+{
+    const auto start = m_runStarts.find(attempt);
+    if (start == m_runStarts.end()) {
+        return;
+    }
+    const double seconds = toSeconds(Loop::now() - start->second);
+    m_meanRunSeconds += (seconds - m_meanRunSeconds) * runAverageShare;
+    m_runStarts.erase(start);
+}
+
 void EndpointRole::answerProbe(const MessageOrigin &origin, const wire::Probe &probe)
 {
     if (m_engine == nullptr) {
@@ -102,7 +131,7 @@
     wire::ProbeAnswer answer;
     answer.__set_probeId(probe.probeId);
     answer.__set_cachedBlocks(static_cast<std::int32_t>(cachedPrefix(probe.blocks)));
-    answer.__set_queuedTokens(m_queue.tokensAhead(probe.account) + runningPrefillTokens());
+    answer.__set_queuedTokens(m_queue.tokensAhead(probe.account) + runningPrefillTokens() + slotWaitTokens());
     answer.__set_engineIncarnation(m_engine->index().incarnation());
     answer.__set_weights(m_engine->weights());
     answer.__set_isLeaving(isLeaving() || !m_engine->isUp());
@@ -199,7 +228,9 @@
     if (m_engine == nullptr) {
         return std::make_shared<ServiceJob>(m_core, m_links, origin.link, dispatch, parseSocketAddress(m_core.settings().service));
     }
-    const ModelJob::CrashHandler onCrash = [this](const wire::Dispatch &crashed) { reportCrash(crashed); };
+    const ModelJob::CrashHandler onCrash = [this](const wire::Dispatch &crashed) {
+        reportCrash(crashed);
+    };
     // A crash is known by the incarnation that ran the request, also when its sender knew none.
     wire::Dispatch own = dispatch;
     own.__set_engineIncarnation(m_engine->index().incarnation());
@@ -227,6 +258,10 @@
             continue;
         }
         m_running[item->attempt] = job;
+        job->onFinished([this]() {
+            sweepSoon();
+        });
+        m_runStarts[item->attempt] = Loop::now();
         job->start();
     }
 }
@@ -272,10 +307,28 @@
     m_core.record("endpoint", "the engine broke off while it ran a request", std::string(), dispatch.account);
 }
 
-void EndpointRole::tick()
+void EndpointRole::sweepSoon()
 {
+    if (m_isSweepDue) {
+        return;
+    }
+    m_isSweepDue = true;
+    // Not at once, as the job that ended is still on the call stack.
+    m_core.timers().subscribeOnce(Duration::zero(), [this](TimePoint) {
+        sweep();
+    });
+}
+
+void EndpointRole::sweep()
+{
+    m_isSweepDue = false;
     for (auto it = m_running.begin(); it != m_running.end();) {
-        it = it->second->isFinished() ? m_running.erase(it) : std::next(it);
+        if (!it->second->isFinished()) {
+            ++it;
+            continue;
+        }
+        noteRunEnded(it->first);
+        it = m_running.erase(it);
     }
     runQueued();
 }
--- a/main/endpointrole.h
+++ b/main/endpointrole.h
@@ -33,6 +33,10 @@
     std::set<AttemptId> m_seen;
     std::deque<AttemptId> m_seenOrder;
     bool m_isLeaving = false;
+    /** How long an answer takes, as a moving average in seconds. */
+    double m_meanRunSeconds = 0;
+    bool m_isSweepDue = false;
+    std::map<AttemptId, TimePoint> m_runStarts;
 
     void handle(const MessageOrigin &origin, const wire::Body &body);
     void answerProbe(const MessageOrigin &origin, const wire::Probe &probe);
@@ -48,8 +52,11 @@
     std::size_t cachedPrefix(const std::vector<std::int64_t> &blocks) const;
     std::int64_t missingTokens(const wire::Dispatch &dispatch) const;
     std::int64_t runningPrefillTokens() const;
+    std::int64_t slotWaitTokens() const;
+    void noteRunEnded(AttemptId attempt);
     bool isLeaving() const;
-    void tick();
+    void sweepSoon();
+    void sweep();
 
 public:
     EndpointRole(DaemonCore &core, PeerLinks &links, ConfigService &config);
--- a/main/enginewatch.cpp
+++ b/main/enginewatch.cpp
@@ -49,7 +49,9 @@
             take(event);
         }
     };
-    handlers.onEnd = [this](HttpEnd) { disconnected(); };
+    handlers.onEnd = [this](HttpEnd) {
+        disconnected();
+    };
     m_core.http().send(std::move(request), std::move(handlers));
 }
 
@@ -64,7 +66,9 @@
             m_downHandler();
         }
     }
-    m_core.timers().subscribeOnce(reconnectPause, [this](TimePoint) { connect(); });
+    m_core.timers().subscribeOnce(reconnectPause, [this](TimePoint) {
+        connect();
+    });
 }
 
 void EngineWatch::take(const std::string &event)
--- a/main/entryrole.cpp
+++ b/main/entryrole.cpp
@@ -17,7 +17,7 @@
 
 const log4cxx::LoggerPtr logger = partLogger("entry");
 
-constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr Duration tickPeriod = std::chrono::milliseconds(200);
 constexpr double retryShare = 0.2;
 constexpr double retryReserve = 50;
 constexpr std::size_t maxCrashes = 2;
@@ -52,8 +52,12 @@
     , m_retries(retryShare, retryReserve)
     , m_suspects(maxCrashes, blockTime, maxSuspects)
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
-    m_links.onClosed([this](PeerNetwork::LinkId link) { linkClosed(link); });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
+    m_links.onClosed([this](PeerNetwork::LinkId link) {
+        linkClosed(link);
+    });
 }
 
 bool EntryRole::open()
@@ -62,7 +66,9 @@
         LOG4CXX_ERROR(logger, "can't listen on " << m_core.settings().httpListen);
         return false;
     }
-    m_server.onRequest([this](HttpServer::ExchangeId id, HttpRequest request) { takeRequest(id, std::move(request)); });
+    m_server.onRequest([this](HttpServer::ExchangeId id, HttpRequest request) {
+        takeRequest(id, std::move(request));
+    });
     m_server.onGone([this](HttpServer::ExchangeId id) {
         const auto found = m_calls.find(id);
         if (found != m_calls.end()) {
@@ -76,7 +82,9 @@
         }
     });
     m_limits.start();
-    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) { tick(now); });
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) {
+        tick(now);
+    });
     LOG4CXX_INFO(logger, "serves callers on " << m_core.settings().httpListen);
     return true;
 }
@@ -139,17 +147,33 @@
     return std::make_shared<OnceCall>(services, id, caller, route, std::move(request), route.kind == RouteKind::Open);
 }
 
-std::shared_ptr<Call> EntryRole::findByAttempt(const wire::AttemptId &attempt) const
+std::shared_ptr<Call> EntryRole::findByAttempt(const wire::AttemptId &attempt)
 {
     const AttemptId id{attempt.incarnation, attempt.counter};
+    const auto known = m_exchangeByAttempt.find(id);
+    if (known != m_exchangeByAttempt.end()) {
+        const auto call = m_calls.find(known->second);
+        const bool isCurrent = call != m_calls.end() && call->second->attempt() == id && !call->second->isFinished();
+        return isCurrent ? call->second : nullptr;
+    }
     for (const std::pair<const HttpServer::ExchangeId, std::shared_ptr<Call>> &entry : m_calls) {
         if (entry.second->attempt() == id && !entry.second->isFinished()) {
+            m_exchangeByAttempt[id] = entry.first;
             return entry.second;
         }
     }
     return nullptr;
 }
 
+void EntryRole::forgetOldAttempts()
+{
+    for (auto it = m_exchangeByAttempt.begin(); it != m_exchangeByAttempt.end();) {
+        const auto call = m_calls.find(it->second);
+        const bool isCurrent = call != m_calls.end() && call->second->attempt() == it->first;
+        it = isCurrent ? std::next(it) : m_exchangeByAttempt.erase(it);
+    }
+}
+
 void EntryRole::handle(const MessageOrigin &, const wire::Body &body)
 {
     std::shared_ptr<Call> call;
@@ -198,6 +222,7 @@
         }
         it = it->second->isFinished() ? m_calls.erase(it) : std::next(it);
     }
+    forgetOldAttempts();
 }
 
 void EntryRole::beginStop()
--- a/main/entryrole.h
+++ b/main/entryrole.h
@@ -31,13 +31,16 @@
     RetryBudget m_retries;
     SuspectList m_suspects;
     std::map<HttpServer::ExchangeId, std::shared_ptr<Call>> m_calls;
+    /** The calls by their present attempt, filled when the first message of an attempt comes. */
+    std::map<AttemptId, HttpServer::ExchangeId> m_exchangeByAttempt;
     bool m_isStopping = false;
 
     void takeRequest(HttpServer::ExchangeId id, HttpRequest request);
     std::shared_ptr<Call> makeCall(HttpServer::ExchangeId id, const Caller &caller, const Route &route, HttpRequest request);
     void reject(HttpServer::ExchangeId id, ErrorKind kind);
     void handle(const MessageOrigin &origin, const wire::Body &body);
-    std::shared_ptr<Call> findByAttempt(const wire::AttemptId &attempt) const;
+    std::shared_ptr<Call> findByAttempt(const wire::AttemptId &attempt);
+    void forgetOldAttempts();
     void linkClosed(PeerNetwork::LinkId link);
     void tick(TimePoint now);
 
--- a/main/limitservice.cpp
+++ b/main/limitservice.cpp
@@ -14,7 +14,7 @@
 
 const log4cxx::LoggerPtr logger = partLogger("limits");
 
-constexpr Duration tickPeriod = std::chrono::milliseconds(100);
+constexpr Duration tickPeriod = std::chrono::milliseconds(200);
 constexpr Duration reserveTimeout = std::chrono::milliseconds(800);
 constexpr Duration silenceLimit = std::chrono::seconds(3);
 
@@ -49,13 +49,19 @@
     , m_config(config)
     , m_writer(writer)
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
 }
 
 void LimitService::start()
 {
-    m_config.onChange([this](const FleetState &state) { configChanged(state); });
-    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) { tick(now); });
+    m_config.onChange([this](const FleetState &state) {
+        configChanged(state);
+    });
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) {
+        tick(now);
+    });
 }
 
 bool LimitService::isHolder(const LimitHolderRow &row) const
@@ -162,7 +168,9 @@
             return;
         }
         if (!row.has_value()) {
-            m_core.timers().subscribeOnce(tickPeriod, [this, name](TimePoint) { readRow(name); });
+            m_core.timers().subscribeOnce(tickPeriod, [this, name](TimePoint) {
+                readRow(name);
+            });
             return;
         }
         beginHolding(name, *row);
@@ -284,7 +292,9 @@
     pending.shard = name;
     pending.id = id;
     pending.handler = std::move(handler);
-    pending.timer = m_core.timers().subscribeOnce(reserveTimeout, [this, id](TimePoint) { reservationTimedOut(id.counter); });
+    pending.timer = m_core.timers().subscribeOnce(reserveTimeout, [this, id](TimePoint) {
+        reservationTimedOut(id.counter);
+    });
     m_pending[id.counter] = std::move(pending);
 }
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -21,7 +21,7 @@
 using namespace citronspar;
 
 constexpr int exitUsage = 2;
-constexpr Duration stopPoll = std::chrono::milliseconds(50);
+constexpr Duration stopPoll = std::chrono::milliseconds(200);
 
 volatile std::sig_atomic_t isStopRequested = 0;
 
@@ -40,7 +40,9 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("citronspard", argc, argv, options, 0);
-    const ScopeGuard freeContext([context]() { poptFreeContext(context); });
+    const ScopeGuard freeContext([context]() {
+        poptFreeContext(context);
+    });
     const int result = poptGetNextOpt(context);
     if (result < -1) {
         std::cerr << "citronspard: " << poptBadOption(context, 0) << ": " << poptStrerror(result) << "\n";
--- a/main/oncecall.cpp
+++ b/main/oncecall.cpp
@@ -66,7 +66,9 @@
         ClaimFlow::Settings settings;
         settings.maxAttempts = call->m_services.config.state().defaults().maxAttempts;
         DaemonCore &core = call->m_services.core;
-        const ClaimFlow::AttemptSource source = [&core]() { return core.nextId(); };
+        const ClaimFlow::AttemptSource source = [&core]() {
+            return core.nextId();
+        };
         call->m_flow = std::make_unique<ClaimFlow>(settings, source, call->m_digest, call->m_deadline);
         call->act(call->m_flow->start(Loop::now()));
     });
--- a/main/operatorapi.cpp
+++ b/main/operatorapi.cpp
@@ -155,7 +155,9 @@
         answer(id, {{"version", version}, {"state", "committed"}, {"outstanding", m_config.outstandingMembers()}});
         return;
     }
-    m_core.timers().subscribeOnce(acceptancePoll, [this, id, version, deadline](TimePoint) { awaitAcceptance(id, version, deadline); });
+    m_core.timers().subscribeOnce(acceptancePoll, [this, id, version, deadline](TimePoint) {
+        awaitAcceptance(id, version, deadline);
+    });
 }
 
 void OperatorApi::sendTimeline(HttpServer::ExchangeId id, const json &arguments)
--- a/main/peerlinks.cpp
+++ b/main/peerlinks.cpp
@@ -18,8 +18,12 @@
     : m_core(core)
     , m_network(core.loop(), core.settings().fleetSecret)
 {
-    m_network.onFrame([this](PeerNetwork::LinkId link, const std::string &frame) { receive(link, frame); });
-    m_network.onClosed([this](PeerNetwork::LinkId link) { forget(link); });
+    m_network.onFrame([this](PeerNetwork::LinkId link, const std::string &frame) {
+        receive(link, frame);
+    });
+    m_network.onClosed([this](PeerNetwork::LinkId link) {
+        forget(link);
+    });
 }
 
 bool PeerLinks::open()
--- a/main/probeservice.cpp
+++ b/main/probeservice.cpp
@@ -23,7 +23,9 @@
     , m_strategy(std::move(strategy))
     , m_random(static_cast<std::uint64_t>(core.incarnation()))
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
 }
 
 void ProbeService::handle(const MessageOrigin &origin, const wire::Body &body)
@@ -76,7 +78,9 @@
         round.probed.push_back(endpoint);
         m_links.sendTo(round.endpoints[endpoint]->address, body);
     }
-    round.timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) { probeNext(id); });
+    round.timer = m_core.timers().subscribeOnce(probeTimeout, [this, id](TimePoint) {
+        probeNext(id);
+    });
 }
 
 void ProbeService::take(const MessageOrigin &origin, const wire::ProbeAnswer &answer)
--- a/main/servicejob.cpp
+++ b/main/servicejob.cpp
@@ -86,8 +86,12 @@
         self->m_status = status;
         self->m_contentType = contentType;
     };
-    handlers.onData = [self](const std::string &data) { self->m_answer += data; };
-    handlers.onEnd = [self](HttpEnd end) { self->serviceEnded(end); };
+    handlers.onData = [self](const std::string &data) {
+        self->m_answer += data;
+    };
+    handlers.onEnd = [self](HttpEnd end) {
+        self->serviceEnded(end);
+    };
     m_call = m_core.http().send(std::move(request), std::move(handlers));
 }
 
--- a/main/timelineservice.cpp
+++ b/main/timelineservice.cpp
@@ -19,7 +19,9 @@
     , m_links(links)
     , m_config(config)
 {
-    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) { handle(origin, body); });
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        handle(origin, body);
+    });
 }
 
 void TimelineService::handle(const MessageOrigin &origin, const wire::Body &body)
@@ -90,7 +92,9 @@
     for (const std::string &address : addresses) {
         m_links.sendTo(address, body);
     }
-    m_core.timers().subscribeOnce(gatherTime, [this, id](TimePoint) { finish(id); });
+    m_core.timers().subscribeOnce(gatherTime, [this, id](TimePoint) {
+        finish(id);
+    });
 }
 
 void TimelineService::finish(std::int64_t id)
@@ -101,8 +105,9 @@
     }
     Round round = std::move(found->second);
     m_rounds.erase(found);
-    std::stable_sort(round.events.begin(), round.events.end(),
-                     [](const TimelineEvent &first, const TimelineEvent &second) { return first.time < second.time; });
+    std::stable_sort(round.events.begin(), round.events.end(), [](const TimelineEvent &first, const TimelineEvent &second) {
+        return first.time < second.time;
+    });
     round.handler(std::move(round.events), round.outstanding);
 }
 
--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -40,12 +40,12 @@
 endpoint() {
     cat >"$dir/$1.json" <<EOF
 {"role": "endpoint", "daemon": "$1", "endpoint": "$1", "zone": "zone-$2", "peerListen": "$(addr $((30 + $2)))", "table": "$(addr 1)",
- "fleetSecret": "$secret", "pieceBytes": 256, "$3": "$4", "seeds": ["$(addr 21)", "$(addr 22)", "$(addr 23)"]}
+ "fleetSecret": "$secret", "pieceBytes": 256, "maxRunning": ${CITRONSPAR_MAX_RUNNING:-64}, "$3": "$4", "seeds": ["$(addr 21)", "$(addr 22)", "$(addr 23)"]}
 EOF
     launch "$1" "$bin/citronspard" --settings "$dir/$1.json"
 }
 
-engine() { launch "$1" "$bin/fakeengine" "$(addr $((40 + $2)))" weights-1; }
+engine() { launch "$1" "$bin/fakeengine" "$(addr $((40 + $2)))" weights-1 "${CITRONSPAR_TOKEN_MS:-2}"; }
 
 start_fleet() {
     launch platform "$bin/fakeplatform" "$(addr 1)"
--- a/servers/fairqueue.cpp
+++ b/servers/fairqueue.cpp
@@ -48,8 +48,9 @@
 {
     for (std::pair<const std::string, Flow> &entry : m_flows) {
         std::deque<std::pair<double, Item>> &items = entry.second.items;
-        const auto found = std::find_if(items.begin(), items.end(),
-                                        [attempt](const std::pair<double, Item> &item) { return item.second.attempt == attempt; });
+        const auto found = std::find_if(items.begin(), items.end(), [attempt](const std::pair<double, Item> &item) {
+            return item.second.attempt == attempt;
+        });
         if (found != items.end()) {
             m_queuedTokens -= found->second.tokens;
             --m_size;
--- a/servers/routingstrategy.cpp
+++ b/servers/routingstrategy.cpp
@@ -265,14 +265,30 @@
 };
 
 const std::array<StrategyEntry, 6> strategies = {{
-    {"round-robin", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<RoundRobin>(); }},
-    {"least-loaded", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<LeastLoaded>(); }},
-    {"hash-only", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<HashOnly>(); }},
+    {"round-robin",
+     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
+         return std::make_unique<RoundRobin>();
+     }},
+    {"least-loaded",
+     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
+         return std::make_unique<LeastLoaded>();
+     }},
+    {"hash-only",
+     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
+         return std::make_unique<HashOnly>();
+     }},
     {"hash-bounded",
-     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<HashBounded>(settings); }},
+     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> {
+         return std::make_unique<HashBounded>(settings);
+     }},
     {"hash-probe",
-     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<HashProbe>(settings); }},
-    {"greedy-full", [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> { return std::make_unique<GreedyFull>(); }},
+     [](const RoutingSettings &settings) -> std::unique_ptr<RoutingStrategy> {
+         return std::make_unique<HashProbe>(settings);
+     }},
+    {"greedy-full",
+     [](const RoutingSettings &) -> std::unique_ptr<RoutingStrategy> {
+         return std::make_unique<GreedyFull>();
+     }},
 }};
 
 }
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -49,9 +49,13 @@
 TEST_CASE("[TimerService] Timers run in order, repeat, and can end themselves")
 {
     TimePoint now{std::chrono::hours(1)};
-    TimerService timers([&now]() { return now; });
+    TimerService timers([&now]() {
+        return now;
+    });
     std::vector<int> calls;
-    timers.subscribeOnce(std::chrono::seconds(2), [&calls](TimePoint) { calls.push_back(2); });
+    timers.subscribeOnce(std::chrono::seconds(2), [&calls](TimePoint) {
+        calls.push_back(2);
+    });
     TimerService::TimerId repeating = 0;
     repeating = timers.subscribe(std::chrono::seconds(1), [&](TimePoint) {
         calls.push_back(1);
--- a/tests/fakes/fakeengine.cpp
+++ b/tests/fakes/fakeengine.cpp
@@ -26,7 +26,7 @@
 using namespace citronspar;
 using nlohmann::json;
 
-constexpr Duration tokenPeriod = std::chrono::milliseconds(2);
+constexpr std::int64_t defaultTokenMilliseconds = 2;
 constexpr double prefillTokensPerSecond = 200000;
 constexpr std::size_t cacheBlocks = 60;
 constexpr std::int64_t blockTokens = 4096;
@@ -108,7 +108,13 @@
         stream.end = request.value("max_tokens", std::int64_t(16));
         const double wait = static_cast<double>(std::max<std::int64_t>(missing, 0)) / prefillTokensPerSecond;
         m_server.beginStream(id, 200, "text/event-stream");
-        m_loop.timers().subscribeOnce(fromSeconds(wait), [this, id, stream](TimePoint) { m_streams[id] = stream; });
+        m_loop.timers().subscribeOnce(fromSeconds(wait), [this, id, stream](TimePoint) {
+            Stream &started = m_streams[id] = stream;
+            if (!m_isFrozen) {
+                writeToken(id, started);
+            }
+            endIfDone(id);
+        });
     }
 
     void writeToken(HttpServer::ExchangeId id, Stream &stream)
@@ -123,14 +129,16 @@
     }
 
 public:
-    FakeEngine(Loop &loop, HttpServer &server, std::string weights)
+    FakeEngine(Loop &loop, HttpServer &server, std::string weights, Duration tokenPeriod)
         : m_loop(loop)
         , m_server(server)
         , m_weights(std::move(weights))
     {
         std::random_device device;
         m_incarnation = static_cast<std::int64_t>(device()) + 1;
-        loop.timers().subscribe(tokenPeriod, [this](TimePoint) { step(); });
+        loop.timers().subscribe(tokenPeriod, [this](TimePoint) {
+            step();
+        });
     }
 
     void step()
@@ -138,16 +146,25 @@
         if (m_isFrozen) {
             return;
         }
-        for (auto it = m_streams.begin(); it != m_streams.end();) {
-            writeToken(it->first, it->second);
-            if (it->second.next < it->second.end) {
-                ++it;
-                continue;
-            }
-            m_server.writeStream(it->first, "data: [DONE]\n\n");
-            m_server.endStream(it->first);
-            it = m_streams.erase(it);
+        std::vector<HttpServer::ExchangeId> ids;
+        for (std::pair<const HttpServer::ExchangeId, Stream> &entry : m_streams) {
+            writeToken(entry.first, entry.second);
+            ids.push_back(entry.first);
+        }
+        for (const HttpServer::ExchangeId id : ids) {
+            endIfDone(id);
+        }
+    }
+
+    void endIfDone(HttpServer::ExchangeId id)
+    {
+        const auto found = m_streams.find(id);
+        if (found == m_streams.end() || found->second.next < found->second.end) {
+            return;
         }
+        m_server.writeStream(id, "data: [DONE]\n\n");
+        m_server.endStream(id);
+        m_streams.erase(found);
     }
 
     void gone(HttpServer::ExchangeId id)
@@ -190,21 +207,28 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 3) {
-        std::cerr << "usage: fakeengine ADDRESS:PORT WEIGHTS\n";
+    if (argc != 3 && argc != 4) {
+        std::cerr << "usage: fakeengine ADDRESS:PORT WEIGHTS [MILLISECONDS-PER-TOKEN]\n";
         return EXIT_FAILURE;
     }
     Loop loop;
     runningLoop = &loop;
-    std::signal(SIGTERM, [](int) { runningLoop->stop(); });
+    std::signal(SIGTERM, [](int) {
+        runningLoop->stop();
+    });
     HttpServer server(loop, HttpServer::Limits{64U * 1024 * 1024, 4096});
-    FakeEngine engine(loop, server, argv[2]);
+    const std::int64_t tokenMilliseconds = argc == 4 ? std::max(1, std::atoi(argv[3])) : defaultTokenMilliseconds;
+    FakeEngine engine(loop, server, argv[2], std::chrono::milliseconds(tokenMilliseconds));
     if (!server.open(parseSocketAddress(argv[1]))) {
         std::cerr << "fakeengine: can't listen on " << argv[1] << "\n";
         return EXIT_FAILURE;
     }
-    server.onRequest([&engine](HttpServer::ExchangeId id, const HttpRequest &request) { engine.handle(id, request); });
-    server.onGone([&engine](HttpServer::ExchangeId id) { engine.gone(id); });
+    server.onRequest([&engine](HttpServer::ExchangeId id, const HttpRequest &request) {
+        engine.handle(id, request);
+    });
+    server.onGone([&engine](HttpServer::ExchangeId id) {
+        engine.gone(id);
+    });
     loop.run();
     return EXIT_SUCCESS;
 }
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -89,14 +89,18 @@
     }
     Loop loop;
     runningLoop = &loop;
-    std::signal(SIGTERM, [](int) { runningLoop->stop(); });
+    std::signal(SIGTERM, [](int) {
+        runningLoop->stop();
+    });
     HttpServer server(loop, HttpServer::Limits{64U * 1024 * 1024, 4096});
     FakePlatform platform(server);
     if (!server.open(parseSocketAddress(argv[1]))) {
         std::cerr << "fakeplatform: can't listen on " << argv[1] << "\n";
         return EXIT_FAILURE;
     }
-    server.onRequest([&platform](HttpServer::ExchangeId id, const HttpRequest &request) { platform.handle(id, request); });
+    server.onRequest([&platform](HttpServer::ExchangeId id, const HttpRequest &request) {
+        platform.handle(id, request);
+    });
     loop.run();
     return EXIT_SUCCESS;
 }
--- a/tests/fakes/fakeservice.cpp
+++ b/tests/fakes/fakeservice.cpp
@@ -57,8 +57,9 @@
         ++m_total;
         const int runs = ++m_runs[request.body];
         const json answer = {{"order", m_total}, {"runsOfThisBody", runs}};
-        m_loop.timers().subscribeOnce(m_delay,
-                                      [this, id, answer](TimePoint) { m_server.respond(id, 201, "application/json", answer.dump()); });
+        m_loop.timers().subscribeOnce(m_delay, [this, id, answer](TimePoint) {
+            m_server.respond(id, 201, "application/json", answer.dump());
+        });
     }
 };
 
@@ -72,14 +73,18 @@
     }
     Loop loop;
     runningLoop = &loop;
-    std::signal(SIGTERM, [](int) { runningLoop->stop(); });
+    std::signal(SIGTERM, [](int) {
+        runningLoop->stop();
+    });
     HttpServer server(loop, HttpServer::Limits());
     FakeService service(loop, server);
     if (!server.open(parseSocketAddress(argv[1]))) {
         std::cerr << "fakeservice: can't listen on " << argv[1] << "\n";
         return EXIT_FAILURE;
     }
-    server.onRequest([&service](HttpServer::ExchangeId id, const HttpRequest &request) { service.handle(id, request); });
+    server.onRequest([&service](HttpServer::ExchangeId id, const HttpRequest &request) {
+        service.handle(id, request);
+    });
     loop.run();
     return EXIT_SUCCESS;
 }
--- a/tests/servers/atmostonce_test.cpp
+++ b/tests/servers/atmostonce_test.cpp
@@ -83,7 +83,9 @@
         const bool isPaused = m_world.m_schedule.chance(0.1);
         const Duration pause = isPaused ? m_world.m_schedule.pickDuration(std::chrono::seconds(1), std::chrono::seconds(8)) : Duration(50);
         const std::shared_ptr<EndpointActor> self = shared_from_this();
-        m_world.m_schedule.after(pause, [self, step]() { step(); });
+        m_world.m_schedule.after(pause, [self, step]() {
+            step();
+        });
     }
 
     void handOver()
@@ -170,8 +172,9 @@
         const std::shared_ptr<EndpointActor> endpoint = std::make_shared<EndpointActor>(
             m_world, attempt, revision,
             [self, attempt](ErrorKind kind) {
-                self->deliver(
-                    [self, attempt, kind]() { self->act(self->m_flow.dispatchRefused(attempt, kind, self->m_world.m_schedule.now())); });
+                self->deliver([self, attempt, kind]() {
+                    self->act(self->m_flow.dispatchRefused(attempt, kind, self->m_world.m_schedule.now()));
+                });
             },
             [self, attempt](const std::string &answer) {
                 self->deliver([self, attempt, answer]() {
@@ -183,10 +186,13 @@
                 });
             });
         if (!schedule.chance(0.05)) {
-            schedule.after(schedule.pickDuration(Duration(500), std::chrono::milliseconds(5)), [endpoint]() { endpoint->start(); });
+            schedule.after(schedule.pickDuration(Duration(500), std::chrono::milliseconds(5)), [endpoint]() {
+                endpoint->start();
+            });
         }
-        schedule.after(schedule.pickDuration(std::chrono::milliseconds(200), std::chrono::seconds(3)),
-                       [self, attempt]() { self->lose(attempt); });
+        schedule.after(schedule.pickDuration(std::chrono::milliseconds(200), std::chrono::seconds(3)), [self, attempt]() {
+            self->lose(attempt);
+        });
     }
 
     /** Contact is lost, so the entry daemon gives the attempt up. */
@@ -259,7 +265,11 @@
     explicit EntryActor(World &world)
         : m_world(world)
         , m_flow(
-              ClaimFlow::Settings(), [&world]() { return world.nextId(); }, 7, world.m_schedule.now() + std::chrono::seconds(15))
+              ClaimFlow::Settings(),
+              [&world]() {
+                  return world.nextId();
+              },
+              7, world.m_schedule.now() + std::chrono::seconds(15))
     {
         world.m_calls.push_back(m_record);
     }
@@ -283,14 +293,18 @@
     Schedule &schedule = world.m_schedule;
     const std::int64_t repeats = schedule.pick(1, 4);
     for (std::int64_t i = 0; i < repeats; ++i) {
-        schedule.after(schedule.pickDuration(Duration(0), std::chrono::seconds(6)),
-                       [&world]() { std::make_shared<EntryActor>(world)->start(); });
+        schedule.after(schedule.pickDuration(Duration(0), std::chrono::seconds(6)), [&world]() {
+            std::make_shared<EntryActor>(world)->start();
+        });
     }
     if (schedule.chance(0.5)) {
         const Duration start = schedule.pickDuration(Duration(0), std::chrono::seconds(8));
-        schedule.after(start, [&world]() { world.m_table.setDown(true); });
-        schedule.after(start + schedule.pickDuration(std::chrono::seconds(1), std::chrono::seconds(30)),
-                       [&world]() { world.m_table.setDown(false); });
+        schedule.after(start, [&world]() {
+            world.m_table.setDown(true);
+        });
+        schedule.after(start + schedule.pickDuration(std::chrono::seconds(1), std::chrono::seconds(30)), [&world]() {
+            world.m_table.setDown(false);
+        });
     }
     schedule.run(std::chrono::minutes(15));
     Verdict verdict;
@@ -318,7 +332,9 @@
 
 TEST_CASE("[AtMostOnce] Work runs at most once and a refusal that says not run is true")
 {
-    const std::uint64_t failing = findFailingSeed(Seeds(2000), [](std::uint64_t seed) { return isHolding(seed, Defect::None); });
+    const std::uint64_t failing = findFailingSeed(Seeds(2000), [](std::uint64_t seed) {
+        return isHolding(seed, Defect::None);
+    });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
 }
@@ -338,7 +354,9 @@
 TEST_CASE("[AtMostOnce] The checker notices each broken version")
 {
     const Defect defect = GENERATE(Defect::ResendWhenLost, Defect::HandOverWhenUnknown, Defect::SkipStart, Defect::CallLostNotRun);
-    const std::uint64_t failing = findFailingSeed(Seeds(2000), [defect](std::uint64_t seed) { return isHolding(seed, defect); });
+    const std::uint64_t failing = findFailingSeed(Seeds(2000), [defect](std::uint64_t seed) {
+        return isHolding(seed, defect);
+    });
     INFO("defect " << static_cast<int>(defect));
     CHECK(failing != 0);
 }
--- a/tests/servers/blockindex_test.cpp
+++ b/tests/servers/blockindex_test.cpp
@@ -105,8 +105,9 @@
 TEST_CASE("[BlockIndex] It claims no block that the engine lacked when its last event was sent")
 {
     const std::uint64_t failing = findFailingSeed(Seeds(1000), [](std::uint64_t seed) {
-        return !isEverWrong(
-            seed, [](const BlockIndex &index, const NaiveIndex &, std::uint64_t block) { return index.cachedPrefix({block}) == 1; });
+        return !isEverWrong(seed, [](const BlockIndex &index, const NaiveIndex &, std::uint64_t block) {
+            return index.cachedPrefix({block}) == 1;
+        });
     });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
@@ -114,7 +115,9 @@
 
 TEST_CASE("[BlockIndex] The checker notices the naive version")
 {
-    CHECK(isEverWrong(1, [](const BlockIndex &, const NaiveIndex &naive, std::uint64_t block) { return naive.has(block); }));
+    CHECK(isEverWrong(1, [](const BlockIndex &, const NaiveIndex &naive, std::uint64_t block) {
+        return naive.has(block);
+    }));
 }
 
 TEST_CASE("[PromptChain] No hash is shared across client accounts, models, adapters or weights")
--- a/tests/servers/dispatchgate_test.cpp
+++ b/tests/servers/dispatchgate_test.cpp
@@ -48,19 +48,50 @@
 
 TEST_CASE("[DispatchGate] It refuses what no longer holds, and nothing else")
 {
-    const Case example
-        = GENERATE(Case{std::nullopt, [](DispatchTerms &, EndpointCondition &) {}},
-                   Case{ErrorKind::EndpointLeaving, [](DispatchTerms &, EndpointCondition &c) { c.isLeaving = true; }},
-                   Case{ErrorKind::NotFresh, [](DispatchTerms &, EndpointCondition &c) { c.isFresh = false; }},
-                   Case{ErrorKind::NotFresh, [](DispatchTerms &t, EndpointCondition &) { t.configVersion = 6; }},
-                   Case{ErrorKind::DeadlinePassed, [](DispatchTerms &t, EndpointCondition &) { t.timeLeft = Duration::zero(); }},
-                   Case{ErrorKind::RequestBlocked, [](DispatchTerms &, EndpointCondition &c) { c.isBlocked = true; }},
-                   Case{ErrorKind::Overloaded, [](DispatchTerms &, EndpointCondition &c) { c.queuedTokens = 1000000; }},
-                   Case{ErrorKind::KeyRejected, [](DispatchTerms &t, EndpointCondition &) { t.keyId = "unknown"; }},
-                   Case{ErrorKind::KeyRejected, [](DispatchTerms &t, EndpointCondition &) { t.account = "mill-b"; }},
-                   Case{ErrorKind::NoEndpoint, [](DispatchTerms &, EndpointCondition &c) { c.isEngineUp = false; }},
-                   Case{ErrorKind::EngineRestarted, [](DispatchTerms &t, EndpointCondition &) { t.engineIncarnation = 8; }},
-                   Case{ErrorKind::WeightsChanged, [](DispatchTerms &t, EndpointCondition &) { t.weights = "w0"; }});
+    const Case example = GENERATE(Case{std::nullopt, [](DispatchTerms &, EndpointCondition &) {}},
+                                  Case{ErrorKind::EndpointLeaving,
+                                       [](DispatchTerms &, EndpointCondition &c) {
+                                           c.isLeaving = true;
+                                       }},
+                                  Case{ErrorKind::NotFresh,
+                                       [](DispatchTerms &, EndpointCondition &c) {
+                                           c.isFresh = false;
+                                       }},
+                                  Case{ErrorKind::NotFresh,
+                                       [](DispatchTerms &t, EndpointCondition &) {
+                                           t.configVersion = 6;
+                                       }},
+                                  Case{ErrorKind::DeadlinePassed,
+                                       [](DispatchTerms &t, EndpointCondition &) {
+                                           t.timeLeft = Duration::zero();
+                                       }},
+                                  Case{ErrorKind::RequestBlocked,
+                                       [](DispatchTerms &, EndpointCondition &c) {
+                                           c.isBlocked = true;
+                                       }},
+                                  Case{ErrorKind::Overloaded,
+                                       [](DispatchTerms &, EndpointCondition &c) {
+                                           c.queuedTokens = 1000000;
+                                       }},
+                                  Case{ErrorKind::KeyRejected,
+                                       [](DispatchTerms &t, EndpointCondition &) {
+                                           t.keyId = "unknown";
+                                       }},
+                                  Case{ErrorKind::KeyRejected,
+                                       [](DispatchTerms &t, EndpointCondition &) {
+                                           t.account = "mill-b";
+                                       }},
+                                  Case{ErrorKind::NoEndpoint,
+                                       [](DispatchTerms &, EndpointCondition &c) {
+                                           c.isEngineUp = false;
+                                       }},
+                                  Case{ErrorKind::EngineRestarted,
+                                       [](DispatchTerms &t, EndpointCondition &) {
+                                           t.engineIncarnation = 8;
+                                       }},
+                                  Case{ErrorKind::WeightsChanged, [](DispatchTerms &t, EndpointCondition &) {
+                                           t.weights = "w0";
+                                       }});
     DispatchTerms terms = goodTerms();
     EndpointCondition condition = goodCondition();
     example.change(terms, condition);
--- a/tests/servers/freshnessguard_test.cpp
+++ b/tests/servers/freshnessguard_test.cpp
@@ -196,7 +196,9 @@
             }
             askRelay(node, m_nodes[node].relay);
         }
-        atNode(node, tickPeriod, [this, node]() { tick(node); });
+        atNode(node, tickPeriod, [this, node]() {
+            tick(node);
+        });
     }
 
     Roster nextRoster()
@@ -227,7 +229,9 @@
     void change()
     {
         const std::size_t node = static_cast<std::size_t>(m_schedule.pick(0, candidateCount - 1));
-        m_schedule.after(m_schedule.pickDuration(std::chrono::milliseconds(200), std::chrono::seconds(4)), [this]() { change(); });
+        m_schedule.after(m_schedule.pickDuration(std::chrono::milliseconds(200), std::chrono::seconds(4)), [this]() {
+            change();
+        });
         if (m_isTableDown || m_nodes[node].isTableCut || m_schedule.now() < m_nodes[node].pausedUntil) {
             return;
         }
@@ -239,7 +243,9 @@
             m_accepted[version] = m_schedule.now();
         }
         for (std::size_t member = 0; member < candidateCount; ++member) {
-            send(node, member, [this, member, version]() { apply(member, version); });
+            send(node, member, [this, member, version]() {
+                apply(member, version);
+            });
         }
         watchAcceptance(node, version);
     }
@@ -308,7 +314,9 @@
     void restartAndTick(std::size_t node)
     {
         restart(node);
-        atNode(node, Duration(0), [this, node]() { tick(node); });
+        atNode(node, Duration(0), [this, node]() {
+            tick(node);
+        });
     }
 
     void disturb()
@@ -348,7 +356,9 @@
             m_isTableDown = !m_isTableDown;
             break;
         }
-        m_schedule.after(m_schedule.pickDuration(std::chrono::milliseconds(50), std::chrono::seconds(3)), [this]() { disturb(); });
+        m_schedule.after(m_schedule.pickDuration(std::chrono::milliseconds(50), std::chrono::seconds(3)), [this]() {
+            disturb();
+        });
     }
 
     void check()
@@ -368,7 +378,9 @@
             m_servedChecks += isServing ? 1 : 0;
             m_isViolated = m_isViolated || (isServing && node.guard->version() < mustKnow);
         }
-        m_schedule.after(std::chrono::milliseconds(20), [this]() { check(); });
+        m_schedule.after(std::chrono::milliseconds(20), [this]() {
+            check();
+        });
     }
 
 public:
@@ -427,7 +439,9 @@
 
 TEST_CASE("[FreshnessGuard] No daemon serves on a version that an accepted one replaced two seconds ago")
 {
-    const std::uint64_t failing = findFailingSeed(Seeds(300), [](std::uint64_t seed) { return isHolding(seed, Defect::None); });
+    const std::uint64_t failing = findFailingSeed(Seeds(300), [](std::uint64_t seed) {
+        return isHolding(seed, Defect::None);
+    });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
 }
@@ -436,7 +450,9 @@
 {
     const Defect defect = GENERATE(Defect::CountFromReceipt, Defect::VouchAtOnce, Defect::AcceptWhenCommitted, Defect::RosterInOneStep,
                                    Defect::RelayWithoutAge, Defect::ServeWhenCutOff);
-    const std::uint64_t failing = findFailingSeed(Seeds(400), [defect](std::uint64_t seed) { return isHolding(seed, defect); });
+    const std::uint64_t failing = findFailingSeed(Seeds(400), [defect](std::uint64_t seed) {
+        return isHolding(seed, defect);
+    });
     INFO("defect " << static_cast<int>(defect));
     CHECK(failing != 0);
 }
--- a/tests/servers/limitholder_test.cpp
+++ b/tests/servers/limitholder_test.cpp
@@ -144,7 +144,9 @@
             }
         }
         const Duration wait = m_defect == Defect::StartAtOnce ? Duration::zero() : maxAge;
-        m_schedule.after(wait, [this, holder, epoch]() { claimRow(holder, epoch); });
+        m_schedule.after(wait, [this, holder, epoch]() {
+            claimRow(holder, epoch);
+        });
     }
 
     void claimRow(const std::shared_ptr<Holder> &holder, std::int64_t epoch)
@@ -179,7 +181,9 @@
             holder->written = *row;
             settleWrite(holder);
         }
-        m_schedule.after(std::chrono::milliseconds(100), [this, holder]() { writeFloors(holder); });
+        m_schedule.after(std::chrono::milliseconds(100), [this, holder]() {
+            writeFloors(holder);
+        });
     }
 
     void settleWrite(const std::shared_ptr<Holder> &holder)
@@ -237,8 +241,9 @@
         request(static_cast<double>(m_schedule.pick(1, 60)));
         // The mean request is 30 tokens, so that the load is a multiple of the rate.
         const double meanGap = 30.0 / (rate * load);
-        m_schedule.after(fromSeconds(meanGap * static_cast<double>(m_schedule.pick(1, 200)) / 100.0),
-                         [this, load]() { requestLoop(load); });
+        m_schedule.after(fromSeconds(meanGap * static_cast<double>(m_schedule.pick(1, 200)) / 100.0), [this, load]() {
+            requestLoop(load);
+        });
     }
 
     void disturb(std::int64_t epoch)
@@ -274,7 +279,9 @@
 
     void run(Duration duration, double load)
     {
-        m_schedule.after(std::chrono::seconds(5), [this, load]() { requestLoop(load); });
+        m_schedule.after(std::chrono::seconds(5), [this, load]() {
+            requestLoop(load);
+        });
         m_schedule.run(duration);
     }
 
@@ -300,7 +307,9 @@
 
 TEST_CASE("[LimitHolder] No window holds more than rate and burst, whatever happens to the holders")
 {
-    const std::uint64_t failing = findFailingSeed(Seeds(1000), [](std::uint64_t seed) { return isHolding(seed, Defect::None); });
+    const std::uint64_t failing = findFailingSeed(Seeds(1000), [](std::uint64_t seed) {
+        return isHolding(seed, Defect::None);
+    });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
 }
@@ -308,7 +317,9 @@
 TEST_CASE("[LimitHolder] The checker notices each broken version")
 {
     const Defect defect = GENERATE(Defect::StartFull, Defect::StartAtOnce, Defect::ForgetLostWrite);
-    const std::uint64_t failing = findFailingSeed(Seeds(1000), [defect](std::uint64_t seed) { return isHolding(seed, defect); });
+    const std::uint64_t failing = findFailingSeed(Seeds(1000), [defect](std::uint64_t seed) {
+        return isHolding(seed, defect);
+    });
     INFO("defect " << static_cast<int>(defect));
     CHECK(failing != 0);
 }
--- a/tests/servers/streamassembler_test.cpp
+++ b/tests/servers/streamassembler_test.cpp
@@ -52,12 +52,15 @@
     {
         const int copies = m_schedule.chance(0.1) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
-            m_schedule.after(m_schedule.pickDuration(Duration(100), std::chrono::milliseconds(40)),
-                             [this, attempt, index]() { arrive(attempt, index, textAt(index)); });
+            m_schedule.after(m_schedule.pickDuration(Duration(100), std::chrono::milliseconds(40)), [this, attempt, index]() {
+                arrive(attempt, index, textAt(index));
+            });
         }
         // A delta of another request, crossed by mistake.
         if (m_schedule.chance(0.05)) {
-            m_schedule.after(Duration(200), [this, index]() { arrive(AttemptId{99, 99}, index, "wrong "); });
+            m_schedule.after(Duration(200), [this, index]() {
+                arrive(AttemptId{99, 99}, index, "wrong ");
+            });
         }
     }
 
@@ -69,11 +72,15 @@
         const bool isCrashing = m_schedule.chance(0.5);
         const std::int64_t last = isCrashing ? m_schedule.pick(first, m_length) : m_length;
         for (std::int64_t index = first; index < last; ++index) {
-            m_schedule.after(std::chrono::milliseconds(2) * (index - first), [this, attempt, index]() { sendDelta(attempt, index); });
+            m_schedule.after(std::chrono::milliseconds(2) * (index - first), [this, attempt, index]() {
+                sendDelta(attempt, index);
+            });
         }
         m_schedule.after(std::chrono::milliseconds(2) * (last - first)
                              + m_schedule.pickDuration(Duration(0), std::chrono::milliseconds(60)),
-                         [this, attempt, isCrashing]() { endAttempt(attempt, isCrashing); });
+                         [this, attempt, isCrashing]() {
+                             endAttempt(attempt, isCrashing);
+                         });
     }
 
     void endAttempt(AttemptId attempt, bool isCrashing)
@@ -85,7 +92,9 @@
         }
         m_assembler.fail(attempt);
         if (m_attempts < 3) {
-            m_schedule.after(std::chrono::milliseconds(10), [this]() { runAttempt(); });
+            m_schedule.after(std::chrono::milliseconds(10), [this]() {
+                runAttempt();
+            });
         }
     }
 
@@ -116,14 +125,20 @@
 
 TEST_CASE("[StreamAssembler] What a caller gets is a prefix of the answer, and whole when it is called complete")
 {
-    const std::uint64_t failing = findFailingSeed(Seeds(2000), [](std::uint64_t seed) { return World(seed, Version::Real).isCorrect(); });
+    const std::uint64_t failing = findFailingSeed(Seeds(2000), [](std::uint64_t seed) {
+        return World(seed, Version::Real).isCorrect();
+    });
     INFO("replay with CITRONSPAR_SEED=" << failing);
     CHECK(failing == 0);
 }
 
 TEST_CASE("[StreamAssembler] The checker notices the naive version")
 {
-    CHECK(findFailingSeed(Seeds(50), [](std::uint64_t seed) { return World(seed, Version::Naive).isCorrect(); }) != 0);
+    CHECK(findFailingSeed(Seeds(50),
+                          [](std::uint64_t seed) {
+                              return World(seed, Version::Naive).isCorrect();
+                          })
+          != 0);
 }
 
 TEST_CASE("[StreamAssembler] An end that counts fewer deltas than arrived breaks the stream")
