Apply exceptions; serve through the balancer's delay on stopping

Cause: exceptions were stored but changed nothing; an entry daemon refused requests that the balancer sent after SIGTERM, which a planned stop must not. Change: valuesFor() merges the exceptions of a client account or endpoint into the defaults; /healthz fails on SIGTERM and the daemon serves for 3 s more. The process test also races two operators and loses the reply to a change.

--- a/main/call.cpp
+++ b/main/call.cpp
@@ -31,7 +31,7 @@
     , m_request(std::move(request))
     , m_name(services.core.nextId().toString())
     , m_startedAt(Loop::now())
-    , m_deadline(m_startedAt + services.config.state().defaults().deadline)
+    , m_deadline(m_startedAt + services.config.state().valuesFor(m_caller.account).deadline)
 {
 }
 
--- a/main/endpointrole.cpp
+++ b/main/endpointrole.cpp
@@ -152,6 +152,7 @@
     terms.timeLeft = std::chrono::milliseconds(dispatch.deadlineMilliseconds);
     terms.digest = static_cast<std::uint64_t>(dispatch.requestDigest);
     EndpointCondition condition;
+    condition.endpoint = m_core.settings().endpoint;
     condition.isLeaving = isLeaving();
     condition.isFresh = m_config.isFresh();
     condition.hasEngine = m_engine != nullptr;
--- a/main/entryrole.cpp
+++ b/main/entryrole.cpp
@@ -18,6 +18,8 @@
 const log4cxx::LoggerPtr logger = partLogger("entry");
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(200);
+// The balancer needs this long to see that the health check fails, and sends requests until then.
+constexpr Duration balancerGrace = std::chrono::seconds(3);
 constexpr double retryShare = 0.2;
 constexpr double retryReserve = 50;
 constexpr std::size_t maxCrashes = 2;
@@ -97,14 +99,24 @@
                      errorBody(kind, answer.runState, m_core.nextId().toString(), Duration::zero()));
 }
 
+bool EntryRole::answerHealth(HttpServer::ExchangeId id, const HttpRequest &request)
+{
+    if (request.path != "/healthz") {
+        return false;
+    }
+    const bool isHealthy = !m_isStopping && m_config.isFresh();
+    m_server.respond(id, isHealthy ? 200 : 503, "text/plain", isHealthy ? "ok\n" : "not serving\n");
+    return true;
+}
+
 void EntryRole::takeRequest(HttpServer::ExchangeId id, HttpRequest request)
 {
-    if (m_operators.handle(id, request)) {
+    if (answerHealth(id, request) || m_operators.handle(id, request)) {
         return;
     }
     m_core.metrics().count("requests");
     m_retries.addRequest();
-    if (m_isStopping) {
+    if (Loop::now() >= m_refuseFrom) {
         reject(id, ErrorKind::EndpointLeaving);
         return;
     }
@@ -228,12 +240,13 @@
 void EntryRole::beginStop()
 {
     m_isStopping = true;
+    m_refuseFrom = Loop::now() + balancerGrace;
     m_core.record("entry", "stops taking requests");
 }
 
 bool EntryRole::isIdle() const
 {
-    return m_calls.empty() && m_server.openExchanges() == 0;
+    return Loop::now() >= m_refuseFrom && m_calls.empty() && m_server.openExchanges() == 0;
 }
 
 }
--- a/main/entryrole.h
+++ b/main/entryrole.h
@@ -34,7 +34,9 @@
     /** The calls by their present attempt, filled when the first message of an attempt comes. */
     std::map<AttemptId, HttpServer::ExchangeId> m_exchangeByAttempt;
     bool m_isStopping = false;
+    TimePoint m_refuseFrom = TimePoint::max();
 
+    bool answerHealth(HttpServer::ExchangeId id, const HttpRequest &request);
     void takeRequest(HttpServer::ExchangeId id, HttpRequest request);
     std::shared_ptr<Call> makeCall(HttpServer::ExchangeId id, const Caller &caller, const Route &route, HttpRequest request);
     void reject(HttpServer::ExchangeId id, ErrorKind kind);
--- a/main/modelcall.cpp
+++ b/main/modelcall.cpp
@@ -98,7 +98,7 @@
 
 void ModelCall::reserveTokens()
 {
-    const std::int64_t bound = m_services.config.state().defaults().maxOutputTokens;
+    const std::int64_t bound = m_services.config.state().valuesFor(m_caller.account).maxOutputTokens;
     m_reservedTokens = m_chain.promptTokens + std::min(m_document.value("max_tokens", bound), bound);
     m_document["max_tokens"] = m_reservedTokens - m_chain.promptTokens;
     const std::weak_ptr<ModelCall> weak = weak_from_this();
@@ -171,7 +171,8 @@
 
 void ModelCall::retryOr(ErrorKind kind)
 {
-    const bool canRetry = m_attempts < m_services.config.state().defaults().maxAttempts && Loop::now() + retryPause < m_deadline;
+    const bool canRetry
+        = m_attempts < m_services.config.state().valuesFor(m_caller.account).maxAttempts && Loop::now() + retryPause < m_deadline;
     if (m_services.suspects.isBlocked(m_digest, Loop::now())) {
         breakStream(ErrorKind::RequestBlocked);
         return;
--- a/main/oncecall.cpp
+++ b/main/oncecall.cpp
@@ -64,7 +64,7 @@
         call->m_claimKey = "claim/" + call->m_caller.account + "/" + sha256Hex(call->m_request.idempotencyKey);
         call->m_digest = hashCombine(hashBytes(call->m_request.method + " " + call->m_request.path, 0), hashBytes(call->m_request.body, 0));
         ClaimFlow::Settings settings;
-        settings.maxAttempts = call->m_services.config.state().defaults().maxAttempts;
+        settings.maxAttempts = call->m_services.config.state().valuesFor(call->m_caller.account).maxAttempts;
         DaemonCore &core = call->m_services.core;
         const ClaimFlow::AttemptSource source = [&core]() {
             return core.nextId();
@@ -203,7 +203,7 @@
         act(m_flow->dispatchRefused(attempt, kind, Loop::now()));
         return;
     }
-    const bool canRetry = errorAnswer(kind).isRetryable && m_attempts < m_services.config.state().defaults().maxAttempts;
+    const bool canRetry = errorAnswer(kind).isRetryable && m_attempts < m_services.config.state().valuesFor(m_caller.account).maxAttempts;
     if (canRetry && m_services.retries.takeRetry()) {
         dispatchUnclaimed();
         return;
@@ -251,7 +251,7 @@
         act(m_flow->dispatchLost(m_attempt, Loop::now()));
         return;
     }
-    if (m_canRepeat && m_attempts < m_services.config.state().defaults().maxAttempts && m_services.retries.takeRetry()) {
+    if (m_canRepeat && m_attempts < m_services.config.state().valuesFor(m_caller.account).maxAttempts && m_services.retries.takeRetry()) {
         dispatchUnclaimed();
         return;
     }
--- a/servers/dispatchgate.cpp
+++ b/servers/dispatchgate.cpp
@@ -50,7 +50,7 @@
     if (condition.isBlocked) {
         return ErrorKind::RequestBlocked;
     }
-    if (condition.queuedTokens > state.defaults().maxQueuedTokens) {
+    if (condition.queuedTokens > state.valuesFor(condition.endpoint).maxQueuedTokens) {
         return ErrorKind::Overloaded;
     }
     const std::optional<ErrorKind> keyError = checkKey(terms, state);
--- a/servers/dispatchgate.h
+++ b/servers/dispatchgate.h
@@ -26,6 +26,7 @@
 /** The endpoint as its own daemon sees it. */
 struct EndpointCondition
 {
+    std::string endpoint;
     std::string weights;
     std::int64_t engineIncarnation = 0;
     bool isEngineUp = false;
--- a/servers/fleetstate.cpp
+++ b/servers/fleetstate.cpp
@@ -28,6 +28,12 @@
     return m_defaults;
 }
 
+const FleetState::Defaults &FleetState::valuesFor(const std::string &target) const
+{
+    const Defaults *values = findIn(m_valuesByTarget, target);
+    return values != nullptr ? *values : m_defaults;
+}
+
 const Roster &FleetState::roster() const
 {
     return m_roster;
--- a/servers/fleetstate.h
+++ b/servers/fleetstate.h
@@ -66,7 +66,7 @@
 class FleetState
 {
 public:
-    /** Values that exceptions can change for one client account, route or VM. */
+    /** Values that exceptions can change for one client account or endpoint. */
     struct Defaults
     {
         Duration deadline = std::chrono::seconds(60);
@@ -78,6 +78,7 @@
 private:
     std::int64_t m_version = 0;
     Defaults m_defaults;
+    std::map<std::string, Defaults> m_valuesByTarget;
     Roster m_roster;
     std::map<std::string, std::string> m_daemons;
     std::map<std::string, Account> m_accounts;
@@ -92,6 +93,9 @@
 public:
     std::int64_t version() const;
     const Defaults &defaults() const;
+
+    /** The defaults with the exceptions for @p target: a client account or an endpoint. */
+    const Defaults &valuesFor(const std::string &target) const;
     const Roster &roster() const;
     const std::map<std::string, Account> &accounts() const;
     const std::map<std::string, Endpoint> &endpoints() const;
--- a/servers/fleetstatereader.cpp
+++ b/servers/fleetstatereader.cpp
@@ -15,17 +15,18 @@
 const char *const schemaText = R"({
   "type": "object",
   "additionalProperties": false,
-  "required": ["roster", "accounts", "keys", "routes", "endpoints", "holders"],
-  "properties": {
-    "defaults": {"type": "object", "additionalProperties": false, "properties": {
+  "definitions": {"values": {"type": "object", "additionalProperties": false, "properties": {
       "deadlineMilliseconds": {"type": "integer", "minimum": 1},
       "maxOutputTokens": {"type": "integer", "minimum": 1},
       "maxAttempts": {"type": "integer", "minimum": 1, "maximum": 10},
-      "maxQueuedTokens": {"type": "integer", "minimum": 1}}},
+      "maxQueuedTokens": {"type": "integer", "minimum": 1}}}},
+  "required": ["roster", "accounts", "keys", "routes", "endpoints", "holders"],
+  "properties": {
+    "defaults": {"$ref": "#/definitions/values"},
     "exceptions": {"type": "object", "additionalProperties": {"type": "object", "additionalProperties": false,
       "required": ["target", "set", "reason"], "properties": {
         "target": {"type": "string", "minLength": 1},
-        "set": {"type": "object"},
+        "set": {"$ref": "#/definitions/values"},
         "reason": {"type": "string", "minLength": 1}}}},
     "daemons": {"type": "object", "additionalProperties": {"type": "string", "minLength": 3}},
     "roster": {"type": "array", "items": {"type": "string"}},
@@ -66,11 +67,11 @@
     return name == "open" ? RouteKind::Open : RouteKind::Model;
 }
 
-FleetState::Defaults readDefaults(const json &document)
+/** Takes the values that @p values names, and leaves the others as they are. */
+FleetState::Defaults readValues(FleetState::Defaults defaults, const json &values)
 {
-    FleetState::Defaults defaults;
-    const json values = document.value("defaults", json::object());
-    defaults.deadline = std::chrono::milliseconds(values.value("deadlineMilliseconds", std::int64_t(60000)));
+    const std::int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(defaults.deadline).count();
+    defaults.deadline = std::chrono::milliseconds(values.value("deadlineMilliseconds", milliseconds));
     defaults.maxOutputTokens = values.value("maxOutputTokens", defaults.maxOutputTokens);
     defaults.maxAttempts = values.value("maxAttempts", defaults.maxAttempts);
     defaults.maxQueuedTokens = values.value("maxQueuedTokens", defaults.maxQueuedTokens);
@@ -104,7 +105,13 @@
 {
     const std::shared_ptr<FleetState> state = std::make_shared<FleetState>();
     state->m_version = version;
-    state->m_defaults = readDefaults(document);
+    state->m_defaults = readValues(FleetState::Defaults(), document.value("defaults", json::object()));
+    // In the order of their ids, so that the last one holds where two set the same value.
+    const json exceptions = document.value("exceptions", json::object());
+    for (const auto &item : exceptions.items()) {
+        const std::string target = item.value().at("target").get<std::string>();
+        state->m_valuesByTarget[target] = readValues(state->valuesFor(target), item.value().at("set"));
+    }
     state->m_roster.members = document.at("roster").get<std::vector<std::string>>();
     state->m_roster.previousMembers = document.value("previousRoster", std::vector<std::string>());
     state->m_daemons = document.value("daemons", std::map<std::string, std::string>());
--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -88,11 +88,30 @@
     sleep 1
 done
 
+echo "== Operators: racing changes and lost replies"
+version=$(operator 1 --json status | grep -o '"version": [0-9]*' | grep -o '[0-9]*')
+for n in 1 2; do
+    (operator $n --expect-version "$version" exception add race mill-a "{\"maxAttempts\": $n}" --reason race >/dev/null; echo $? >"$dir/race-$n") &
+    racers+=($!)
+done
+wait "${racers[@]}"
+expect "one of two racing changes wins, the other is refused" test "$(cat "$dir/race-1" "$dir/race-2" | sort | tr -d '\n')" = 03
+fault 1 '{"mode": "lose"}'
+(sleep 1; fault 1 '{"mode": "none"}') &
+healer=$!
+operator 2 exception remove race >/dev/null
+expect "a change whose reply was lost is accepted" test $? = 0
+wait "$healer"
+expect "and was made once" test "$(operator 2 --json status | grep -o '"version": [0-9]*' | grep -o '[0-9]*')" = $((version + 2))
+
 echo "== Leaving: planned stops cut no request"
 streams=()
 for n in 1 2 3; do for i in 1 2 3; do chat $n sk-alpha 700 "Leaving $i." >"$dir/leave-$n-$i" & streams+=($!); done; done
 sleep 0.5
 kill -TERM "${pid_of[model-1]}" "${pid_of[entry-3]}"
+sleep 0.5
+expect "the health check fails" test "$(curl -s -o /dev/null -w '%{http_code}' "http://$(addr 13)/healthz")" = 503
+expect "a request that the balancer still sends is served" grep -q DONE <<<"$(chat 3 sk-alpha 4 'Late one.')"
 wait "${streams[@]}"
 expect "nine of nine streams are whole" test "$(cat "$dir"/leave-* | grep -c DONE)" = 9
 for name in entry-3 model-1; do
