Split the strategies and the tests into a file per class

Cause: six strategies and their registry stood in one file of 315 lines, and tests of several classes in one file.

--- a/bench/capacitybench.cpp
+++ b/bench/capacitybench.cpp
@@ -11,7 +11,7 @@
 #include "servers/freshnessguard.h"
 #include "servers/limitholder.h"
 #include "servers/promptchain.h"
-#include "servers/routingstrategy.h"
+#include "servers/routingstrategies.h"
 #include "servers/streamassembler.h"
 
 #include <nlohmann/json.hpp>
--- a/bench/routingbench.cpp
+++ b/bench/routingbench.cpp
@@ -8,7 +8,7 @@
 #include "core/hash.h"
 #include "core/scopeguard.h"
 #include "servers/limitholder.h"
-#include "servers/routingstrategy.h"
+#include "servers/routingstrategies.h"
 
 #include <popt.h>
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -6,7 +6,7 @@
 #include "main/entryrole.h"
 #include "main/peerlinks.h"
 #include "main/settings.h"
-#include "servers/routingstrategy.h"
+#include "servers/routingstrategies.h"
 
 #include <popt.h>
 
--- /dev/null
+++ b/servers/hashprobe.cpp
@@ -0,0 +1,83 @@
+#include "servers/hashprobe.h"
+
+#include "servers/routingprediction.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace citronspar
+{
+
+void HashProbe::remember(std::uint64_t affinity, std::size_t endpoint)
+{
+    if (!m_placements.insert_or_assign(affinity, endpoint).second) {
+        return;
+    }
+    m_placementOrder.push_back(affinity);
+    if (m_placementOrder.size() > m_settings.rememberedPlacements) {
+        m_placements.erase(m_placementOrder.front());
+        m_placementOrder.pop_front();
+    }
+}
+
+std::vector<std::size_t> HashProbe::probeOrder(const RoutingRequest &request, const std::vector<EndpointView> &endpoints) const
+{
+    std::vector<std::size_t> order = usableByHash(request, endpoints);
+    const auto placement = m_placements.find(request.affinity);
+    const auto place = placement == m_placements.end() ? order.end() : std::find(order.begin(), order.end(), placement->second);
+    if (place != order.end()) {
+        std::rotate(order.begin(), place, std::next(place));
+    }
+    return order;
+}
+
+HashProbe::HashProbe(const RoutingSettings &settings)
+    : m_settings(settings)
+{
+}
+
+std::vector<std::size_t> HashProbe::nextProbes(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
+                                               const std::vector<std::size_t> &probed, const std::vector<ProbeResult> &answers,
+                                               Random &random)
+{
+    std::vector<std::size_t> order = probeOrder(request, endpoints);
+    if (probed.empty()) {
+        order.resize(std::min(order.size(), m_settings.firstProbes));
+        return order;
+    }
+    const std::optional<ProbeResult> best = bestAnswer(request, answers, m_settings.recomputeWeight);
+    const bool isGoodEnough = best.has_value() && predictedWait(request, *best, 0) <= m_settings.probeMoreAbove;
+    if (isGoodEnough || answers.empty() || probed.size() > m_settings.firstProbes) {
+        return {};
+    }
+    std::vector<std::size_t> rest;
+    for (const std::size_t place : order) {
+        if (std::find(probed.begin(), probed.end(), place) == probed.end()) {
+            rest.push_back(place);
+        }
+    }
+    // The next one by hash may hold a copy; the others are drawn, so that idle endpoints are found.
+    if (rest.size() > 1) {
+        std::shuffle(std::next(rest.begin()), rest.end(), random);
+    }
+    rest.resize(std::min(rest.size(), m_settings.moreProbes));
+    return rest;
+}
+
+std::optional<std::size_t> HashProbe::choose(const RoutingRequest &request, const std::vector<EndpointView> &endpoints,
+                                             const std::vector<ProbeResult> &answers)
+{
+    const std::optional<ProbeResult> best = bestAnswer(request, answers, m_settings.recomputeWeight);
+    if (best.has_value()) {
+        remember(request.affinity, best->endpoint);
+        return best->endpoint;
+    }
+    if (!answers.empty()) {
+        return std::nullopt;
+    }
+    // No answer in time: the order is the best guess.
+    const std::vector<std::size_t> order = probeOrder(request, endpoints);
+    return order.empty() ? std::nullopt : std::optional<std::size_t>(order.front());
+}
+
+}
--- /dev/null
+++ b/tests/core/base64_test.cpp
@@ -0,0 +1,14 @@
+#include "core/base64.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+
+TEST_CASE("[Base64] Any bytes are read back")
+{
+    std::string bytes;
+    for (int i = 0; i < 300; ++i) {
+        CHECK(decodeBase64(encodeBase64(bytes)) == bytes);
+        bytes += static_cast<char>(i);
+    }
+}
--- /dev/null
+++ b/tests/core/digest_test.cpp
@@ -0,0 +1,10 @@
+#include "core/digest.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+
+TEST_CASE("[Digest] The digest is that of the standard's example")
+{
+    CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
--- /dev/null
+++ b/tests/core/hybridclock_test.cpp
@@ -0,0 +1,16 @@
+#include "core/hybridclock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+
+TEST_CASE("[HybridClock] A receipt is later than its sending, also when the wall clock is behind")
+{
+    HybridClock sender;
+    HybridClock receiver;
+    const HybridTime sent = sender.tick(std::chrono::seconds(100));
+    receiver.observe(sent);
+    const HybridTime received = receiver.tick(std::chrono::seconds(50));
+    CHECK(sent < received);
+    CHECK(received < receiver.tick(std::chrono::seconds(50)));
+}
--- a/tests/drivers/codecs_test.cpp
+++ b/tests/drivers/framecodec_test.cpp
@@ -1,11 +1,9 @@
 #include "drivers/framecodec.h"
-#include "drivers/loop.h"
-#include "drivers/messagecodec.h"
-#include "drivers/ssereader.h"
 
 #include <catch2/catch.hpp>
 
-#include <random>
+#include <string>
+#include <vector>
 
 using namespace citronspar;
 
@@ -86,45 +84,3 @@
         CHECK_FALSE(pair.second.decode(std::string(64, '\xff')).has_value());
     }
 }
-
-TEST_CASE("[MessageCodec] Messages are read back, and cut or random bytes never are more than refused")
-{
-    wire::Envelope envelope;
-    envelope.__set_sender("entry-1");
-    wire::Probe probe;
-    probe.__set_blocks({1, -2, 3});
-    wire::Body body;
-    body.__set_probe(probe);
-    envelope.__set_body(body);
-    const std::string bytes = encodeEnvelope(envelope);
-    CHECK(decodeEnvelope(bytes)->body.probe.blocks == probe.blocks);
-    for (std::size_t size = 0; size < bytes.size(); ++size) {
-        CHECK_FALSE(decodeEnvelope(bytes.substr(0, size)).has_value());
-    }
-    std::mt19937_64 random(7);
-    for (int i = 0; i < 20000; ++i) {
-        std::string noise = bytes;
-        noise[random() % noise.size()] = static_cast<char>(random());
-        decodeEnvelope(noise);
-    }
-}
-
-TEST_CASE("[SseReader] Events are found, however the bytes are cut")
-{
-    SseReader reader;
-    std::vector<std::string> events;
-    for (const char byte : std::string("data: one\n\n: comment\ndata: two\r\n\r\ndata: thr")) {
-        for (const std::string &event : reader.add(std::string(1, byte))) {
-            events.push_back(event);
-        }
-    }
-    CHECK(events == std::vector<std::string>{"one", "two"});
-}
-
-TEST_CASE("[SocketAddress] Only an address with a port is one")
-{
-    CHECK(parseSocketAddress("127.0.0.1:80").port == 80);
-    CHECK(parseSocketAddress("127.0.0.1").port == 0);
-    CHECK(parseSocketAddress("127.0.0.1:x").port == 0);
-    CHECK(parseSocketAddress("127.0.0.1:80x").port == 0);
-}
--- /dev/null
+++ b/tests/servers/fleetstatereader_test.cpp
@@ -0,0 +1,44 @@
+#include "servers/fleetstatereader.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace citronspar;
+
+TEST_CASE("[FleetStateReader] Exceptions change the defaults for their target alone")
+{
+    const nlohmann::json none = nlohmann::json::object();
+    nlohmann::json document
+        = {{"roster", {"a"}}, {"accounts", none}, {"keys", none}, {"routes", none}, {"endpoints", none}, {"holders", none}};
+    document["defaults"] = {{"maxAttempts", 2}, {"deadlineMilliseconds", 500}};
+    document["exceptions"]["e1"] = {{"target", "mill-a"}, {"set", {{"maxAttempts", 5}}}, {"reason", "long logs"}};
+    document["exceptions"]["e2"] = {{"target", "mill-a"}, {"set", {{"maxOutputTokens", 7}}}, {"reason", "short answers"}};
+    FleetStateReader reader;
+    const std::shared_ptr<const FleetState> state = reader.read(1, document);
+    REQUIRE(state != nullptr);
+    CHECK(state->valuesFor("mill-a").maxAttempts == 5);
+    CHECK(state->valuesFor("mill-a").maxOutputTokens == 7);
+    CHECK(state->valuesFor("mill-a").deadline == std::chrono::milliseconds(500));
+    CHECK(state->valuesFor("mill-b").maxAttempts == 2);
+    document["exceptions"]["e1"].erase("reason");
+    CHECK(reader.read(1, document) == nullptr);
+}
+
+TEST_CASE("[FleetStateReader] A document that is not valid is refused with the place of the error")
+{
+    FleetStateReader reader;
+    CHECK(reader.read(1, nlohmann::json::object()) == nullptr);
+    nlohmann::json document = {{"roster", {"a"}},
+                               {"accounts", {{"x", {{"tokensPerSecond", "fast"}, {"burstTokens", 1}}}}},
+                               {"keys", nlohmann::json::object()},
+                               {"routes", nlohmann::json::object()},
+                               {"endpoints", nlohmann::json::object()},
+                               {"holders", nlohmann::json::object()}};
+    CHECK(reader.read(1, document) == nullptr);
+    CHECK(reader.lastReason().find("tokensPerSecond") != std::string::npos);
+    document["accounts"] = nlohmann::json::object();
+    document["surprise"] = 1;
+    CHECK(reader.read(1, document) == nullptr);
+    document.erase("surprise");
+    CHECK(reader.read(1, document) != nullptr);
+}
--- /dev/null
+++ b/tests/servers/retrybudget_test.cpp
@@ -0,0 +1,20 @@
+#include "servers/retrybudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+
+TEST_CASE("[RetryBudget] Retries are a share of requests")
+{
+    RetryBudget budget(0.1, 2);
+    CHECK(budget.takeRetry());
+    CHECK(budget.takeRetry());
+    CHECK_FALSE(budget.takeRetry());
+    int retries = 0;
+    for (int i = 0; i < 100; ++i) {
+        budget.addRequest();
+        retries += budget.takeRetry() ? 1 : 0;
+    }
+    CHECK(retries <= 10);
+    CHECK(retries >= 9);
+}
