Bound a plain service's answer; say twice-told parts of the limits once

Cause: an endpoint daemon collected a service's answer without a bound, and one over the frame limit of 16 MB would have closed the link and with it other requests. Now an answer over maxBodyBytes (at most 8 MB) ends as outcome_unknown. The floor write and the way to a holder stood twice in the limits service.

--- a/main/limitservice.cpp
+++ b/main/limitservice.cpp
@@ -216,15 +216,25 @@
         return;
     }
     shard.pendingRow = *row;
-    m_core.table().transact({TablePut{rowKey(name), shard.rowRevision, rowToJson(*row)}}, [this, name](const TableReply &reply) {
-        Shard &written = m_shards[name];
-        if (reply.outcome == TableOutcome::Committed) {
-            written.rowRevision = reply.rows.front().revision;
-            written.holder.writeCommitted();
-        } else {
-            resolveFloorWrite(name);
-        }
-    });
+    writePendingRow(name);
+}
+
+void LimitService::writePendingRow(const std::string &name)
+{
+    const Shard &shard = m_shards[name];
+    if (!shard.holder.isActive()) {
+        return;
+    }
+    m_core.table().transact({TablePut{rowKey(name), shard.rowRevision, rowToJson(shard.pendingRow)}},
+                            [this, name](const TableReply &reply) {
+                                Shard &written = m_shards[name];
+                                if (reply.outcome == TableOutcome::Committed) {
+                                    written.rowRevision = reply.rows.front().revision;
+                                    written.holder.writeCommitted();
+                                } else {
+                                    resolveFloorWrite(name);
+                                }
+                            });
 }
 
 void LimitService::resolveFloorWrite(const std::string &name)
@@ -246,20 +256,7 @@
         }
         // The lost write may still come, so the floor in flight stays until a write at this revision is settled.
         m_core.timers().subscribeOnce(tickPeriod, [this, name](TimePoint) {
-            const Shard &retried = m_shards[name];
-            if (!retried.holder.isActive()) {
-                return;
-            }
-            m_core.table().transact({TablePut{rowKey(name), retried.rowRevision, rowToJson(retried.pendingRow)}},
-                                    [this, name](const TableReply &reply) {
-                                        Shard &written = m_shards[name];
-                                        if (reply.outcome == TableOutcome::Committed) {
-                                            written.rowRevision = reply.rows.front().revision;
-                                            written.holder.writeCommitted();
-                                        } else {
-                                            resolveFloorWrite(name);
-                                        }
-                                    });
+            writePendingRow(name);
         });
     });
 }
@@ -274,6 +271,14 @@
     return shard.holder.reserve(account, reservation, tokens, Loop::now());
 }
 
+void LimitService::sendToHolder(const LimitHolderRow &row, const wire::Body &body)
+{
+    const auto address = m_config.state().daemons().find(row.daemon);
+    if (address != m_config.state().daemons().end()) {
+        m_links.sendTo(address->second, body);
+    }
+}
+
 void LimitService::reserveWaiting(const std::string &account, const std::string &reservation, double tokens, TimePoint giveUpAt,
                                   const GrantHandler &handler)
 {
@@ -313,10 +318,7 @@
     reserve.__set_tokens(tokens);
     wire::Body body;
     body.__set_reserve(reserve);
-    const auto address = m_config.state().daemons().find(row->second.daemon);
-    if (address != m_config.state().daemons().end()) {
-        m_links.sendTo(address->second, body);
-    }
+    sendToHolder(row->second, body);
     Pending pending;
     pending.shard = name;
     pending.id = id;
@@ -371,17 +373,13 @@
         m_shards[name].holder.giveBack(reservation, static_cast<double>(tokens), Loop::now());
         return;
     }
-    const auto address = m_config.state().daemons().find(row->second.daemon);
-    if (address == m_config.state().daemons().end()) {
-        return;
-    }
     wire::GiveBack message;
     message.__set_reservationId(id->counter);
     message.__set_account(account);
     message.__set_tokens(tokens);
     wire::Body body;
     body.__set_giveBack(message);
-    m_links.sendTo(address->second, body);
+    sendToHolder(row->second, body);
 }
 
 void LimitService::handle(const MessageOrigin &origin, const wire::Body &body)
--- a/main/limitservice.h
+++ b/main/limitservice.h
@@ -70,7 +70,9 @@
     void readRow(const std::string &name);
     void beginHolding(const std::string &name, const TableRow &row);
     void writeFloors(const std::string &name, Shard &shard, TimePoint now);
+    void writePendingRow(const std::string &name);
     void resolveFloorWrite(const std::string &name);
+    void sendToHolder(const LimitHolderRow &row, const wire::Body &body);
     void proposeSelf(const std::string &name);
     void handle(const MessageOrigin &origin, const wire::Body &body);
     void answerReserve(const MessageOrigin &origin, const wire::Reserve &reserve);
--- a/main/servicejob.cpp
+++ b/main/servicejob.cpp
@@ -87,7 +87,7 @@
         self->m_contentType = contentType;
     };
     handlers.onData = [self](const std::string &data) {
-        self->m_answer += data;
+        self->takeData(data);
     };
     handlers.onEnd = [self](HttpEnd end) {
         self->serviceEnded(end);
@@ -95,6 +95,18 @@
     m_call = m_core.http().send(std::move(request), std::move(handlers));
 }
 
+void ServiceJob::takeData(const std::string &data)
+{
+    if (m_answer.size() + data.size() > m_core.settings().maxBodyBytes) {
+        // The work was done, but its answer can be neither kept nor passed on.
+        m_core.record("endpoint", "the answer is too large", attempt().toString(), m_dispatch.account);
+        m_core.http().cancel(m_call);
+        serviceEnded(HttpEnd::Broken);
+        return;
+    }
+    m_answer += data;
+}
+
 void ServiceJob::serviceEnded(HttpEnd end)
 {
     if (end == HttpEnd::NotSent) {
--- a/main/servicejob.h
+++ b/main/servicejob.h
@@ -23,6 +23,7 @@
     void writeRow(const StartGate::WriteRow &write);
     void readRow(const StartGate::ReadRow &read);
     void handOver();
+    void takeData(const std::string &data);
     void serviceEnded(HttpEnd end);
     void finishWithGate();
 
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -32,7 +32,7 @@
     "logLayout": {"enum": ["text", "json"]},
     "logLevel": {"enum": ["TRACE", "DEBUG", "INFO", "WARN", "ERROR"]},
     "strategy": {"type": "string"},
-    "maxBodyBytes": {"type": "integer", "minimum": 1024},
+    "maxBodyBytes": {"type": "integer", "minimum": 1024, "maximum": 8388608},
     "pieceBytes": {"type": "integer", "minimum": 16},
     "bytesPerToken": {"type": "number", "minimum": 0.1},
     "engine": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
