Test that a too large answer harms no other request

Cause: the bound on a service's answer had no test. A first one, on the large order alone, passed with the old code as well (the claim settled it), so it showed nothing; the test now keeps four orders open on the same link.

--- a/tests/fakes/fakeservice.cpp
+++ b/tests/fakes/fakeservice.cpp
@@ -1,6 +1,7 @@
 // A stand-in for a plain service whose calls may not be repeated. It counts
 // how often each order body ran. GET /stats tells the counts.
-// POST /fault {"delayMilliseconds":N} delays all later answers.
+// POST /fault {"delayMilliseconds":N,"answerBytes":M} delays all later answers,
+// and fills them up to M bytes.
 
 #include "drivers/httpserver.h"
 #include "drivers/loop.h"
@@ -29,6 +30,7 @@
     int m_total = 0;
     bool m_hasSeenKey = false;
     Duration m_delay{};
+    std::size_t m_answerBytes = 0;
 
 public:
     FakeService(Loop &loop, HttpServer &server)
@@ -50,13 +52,18 @@
             return;
         }
         if (request.path == "/fault") {
-            m_delay = std::chrono::milliseconds(json::parse(request.body).value("delayMilliseconds", 0));
+            const json fault = json::parse(request.body);
+            m_delay = std::chrono::milliseconds(fault.value("delayMilliseconds", 0));
+            m_answerBytes = fault.value("answerBytes", std::size_t(0));
             m_server.respond(id, 200, "text/plain", "ok\n");
             return;
         }
         ++m_total;
         const int runs = ++m_runs[request.body];
-        const json answer = {{"order", m_total}, {"runsOfThisBody", runs}};
+        json answer = {{"order", m_total}, {"runsOfThisBody", runs}};
+        if (m_answerBytes > 0) {
+            answer["filler"] = std::string(m_answerBytes, 'x');
+        }
         m_loop.timers().subscribeOnce(m_delay, [this, id, answer](TimePoint) {
             m_server.respond(id, 201, "application/json", answer.dump());
         });
--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -41,6 +41,19 @@
 expect "chat goes on meanwhile" grep -q DONE <<<"$(chat 1 sk-alpha 4 'Table down.')"
 fault 1 '{"mode": "none"}'
 
+echo "== At most once: an answer too large to pass on"
+fault 2 '{"delayMilliseconds": 2000}'
+companions=()
+for i in 1 2 3 4; do order 1 "" "{\"companion\": $i}" >"$dir/companion-$i" & companions+=($!); done
+sleep 0.3
+fault 2 '{"answerBytes": 20000000}'
+answer=$(order 1 large-1 '{"order": "large"}')
+wait "${companions[@]}"
+expect "orders that were open on the same link are answered" test "$(cat "$dir"/companion-* | grep -o runsOfThisBody | wc -l)" = 4
+expect "the outcome is called unknown" grep -q outcome_unknown <<<"${answer:0:1000}"
+fault 2 '{"answerBytes": 0}'
+expect "the next order is answered" grep -q runsOfThisBody <<<"$(order 1 large-2 '{"order": "after the large one"}')"
+
 echo "== At most once: a killed entry daemon"
 fault 2 '{"delayMilliseconds": 1000}'
 (order 3 killed-1 '{"order": "killed"}' >/dev/null) &
