--- a/drivers/httpserver.cpp
+++ b/drivers/httpserver.cpp
@@ -82,12 +82,6 @@
     return m_vhost != nullptr && lws_get_vhost_listen_port(m_vhost) > 0;
 }
 
-void HttpServer::close()
-{
-    // The vhost stays, as its connections must be able to finish.
-    m_handler = nullptr;
-}
-
 void HttpServer::onRequest(Handler handler)
 {
     m_handler = std::move(handler);
@@ -157,10 +151,6 @@
         return;
     }
     exchange->isDispatched = true;
-    if (!m_handler) {
-        respond(id, statusUnavailable, "text/plain", "the daemon is stopping\n");
-        return;
-    }
     m_handler(id, std::move(exchange->request));
 }
 
--- a/drivers/httpserver.h
+++ b/drivers/httpserver.h
@@ -82,9 +82,6 @@
     /** Listens on @p address; false when the port can't be had. */
     bool open(const SocketAddress &address);
 
-    /** Stops listening; open exchanges go on. */
-    void close();
-
     void onRequest(Handler handler);
 
     /** Called when a caller has gone before its answer was whole. */
--- a/servers/streamassembler.cpp
+++ b/servers/streamassembler.cpp
@@ -78,9 +78,4 @@
     return m_nextIndex;
 }
 
-AttemptId StreamAssembler::attempt() const
-{
-    return m_attempt;
-}
-
 }
--- a/servers/streamassembler.h
+++ b/servers/streamassembler.h
@@ -53,7 +53,6 @@
 
     State state() const;
     std::int64_t nextIndex() const;
-    AttemptId attempt() const;
 };
 
 }
