--- /dev/null
+++ b/drivers/httpreader.cpp
@@ -0,0 +1,139 @@
+#include "drivers/httpreader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/impl/basic_parser.ipp>
+#include <boost/beast/http/verb.hpp>
+
+#include <utility>
+
+namespace citronspar
+{
+
+namespace http = boost::beast::http;
+
+template<bool isRequest>
+HttpReader<isRequest>::HttpReader(HttpReadLimits limits, HeadHandler headHandler, DataHandler dataHandler)
+    : m_headHandler(std::move(headHandler))
+    , m_dataHandler(std::move(dataHandler))
+{
+    Base::header_limit(limits.maxHeaderBytes);
+    Base::body_limit(limits.maxBodyBytes);
+    Base::eager(true);
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_request_impl(http::verb, Text method, Text target, int, ErrorCode &error)
+{
+    m_head.method.assign(method.data(), method.size());
+    m_head.target.assign(target.data(), target.size());
+    error = {};
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_response_impl(int code, Text reason, int, ErrorCode &error)
+{
+    m_head.status = code;
+    m_head.reason.assign(reason.data(), reason.size());
+    error = {};
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_field_impl(http::field, Text name, Text value, ErrorCode &error)
+{
+    m_head.fields.emplace_back(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
+    error = {};
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_header_impl(ErrorCode &error)
+{
+    error = {};
+    m_headHandler(m_head);
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &error)
+{
+    error = {};
+}
+
+template<bool isRequest> std::size_t HttpReader<isRequest>::on_body_impl(Text body, ErrorCode &error)
+{
+    error = {};
+    m_dataHandler(std::string_view(body.data(), body.size()));
+    return body.size();
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_chunk_header_impl(std::uint64_t, Text, ErrorCode &error)
+{
+    error = {};
+}
+
+template<bool isRequest> std::size_t HttpReader<isRequest>::on_chunk_body_impl(std::uint64_t, Text body, ErrorCode &error)
+{
+    error = {};
+    m_dataHandler(std::string_view(body.data(), body.size()));
+    return body.size();
+}
+
+template<bool isRequest> void HttpReader<isRequest>::on_finish_impl(ErrorCode &error)
+{
+    error = {};
+}
+
+template<bool isRequest> HttpReadState HttpReader<isRequest>::read(std::string &input)
+{
+    while (!input.empty() && !Base::is_done()) {
+        ErrorCode error;
+        const std::size_t count = Base::put(boost::asio::buffer(input.data(), input.size()), error);
+        input.erase(0, count);
+        if (error == http::error::need_more) {
+            break;
+        }
+        if (error == http::error::header_limit) {
+            return HttpReadState::HeaderTooLarge;
+        }
+        if (error == http::error::body_limit) {
+            return HttpReadState::BodyTooLarge;
+        }
+        if (error) {
+            return HttpReadState::Malformed;
+        }
+    }
+    return Base::is_done() ? HttpReadState::Done : HttpReadState::NeedsMore;
+}
+
+template<bool isRequest> bool HttpReader<isRequest>::finishAtEnd()
+{
+    if (Base::is_done()) {
+        return true;
+    }
+    if (!Base::is_header_done() || !Base::need_eof()) {
+        return false;
+    }
+    ErrorCode error;
+    Base::put_eof(error);
+    return !error && Base::is_done();
+}
+
+template<bool isRequest> const HttpHead &HttpReader<isRequest>::head() const
+{
+    return m_head;
+}
+
+template<bool isRequest> bool HttpReader<isRequest>::hasHead() const
+{
+    return Base::is_header_done();
+}
+
+template<bool isRequest> bool HttpReader<isRequest>::keepsAlive() const
+{
+    return Base::is_header_done() && Base::keep_alive() && !Base::need_eof();
+}
+
+template<bool isRequest> std::int64_t HttpReader<isRequest>::statedLength() const
+{
+    const boost::optional<std::uint64_t> length = Base::content_length();
+    return length.has_value() ? static_cast<std::int64_t>(*length) : -1;
+}
+
+template class HttpReader<true>;
+template class HttpReader<false>;
+
+}
--- /dev/null
+++ b/drivers/httpreader.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "drivers/httphead.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace citronspar
+{
+
+/** Bounds on a message that is read. */
+struct HttpReadLimits
+{
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint64_t maxBodyBytes = 4U * 1024 * 1024;
+};
+
+/** How far the reading of one message has come. */
+enum class HttpReadState {
+    NeedsMore,
+    Done,
+    HeaderTooLarge,
+    BodyTooLarge,
+    Malformed,
+};
+
+/**
+ * Reads one HTTP/1.1 message from a byte stream by Boost.Beast's incremental
+ * parser, and hands its body on in pieces as they arrive.
+ */
+template<bool isRequest> class HttpReader : private boost::beast::http::basic_parser<isRequest>
+{
+public:
+    using HeadHandler = std::function<void(const HttpHead &head)>;
+    using DataHandler = std::function<void(std::string_view data)>;
+
+private:
+    using Base = boost::beast::http::basic_parser<isRequest>;
+    using ErrorCode = boost::beast::error_code;
+    using Text = boost::beast::string_view;
+
+    HttpHead m_head;
+    HeadHandler m_headHandler;
+    DataHandler m_dataHandler;
+
+    void on_request_impl(boost::beast::http::verb verb, Text method, Text target, int version, ErrorCode &error) override;
+    void on_response_impl(int code, Text reason, int version, ErrorCode &error) override;
+    void on_field_impl(boost::beast::http::field name, Text nameText, Text value, ErrorCode &error) override;
+    void on_header_impl(ErrorCode &error) override;
+    void on_body_init_impl(boost::optional<std::uint64_t> const &length, ErrorCode &error) override;
+    std::size_t on_body_impl(Text body, ErrorCode &error) override;
+    void on_chunk_header_impl(std::uint64_t size, Text extensions, ErrorCode &error) override;
+    std::size_t on_chunk_body_impl(std::uint64_t remain, Text body, ErrorCode &error) override;
+    void on_finish_impl(ErrorCode &error) override;
+
+public:
+    HttpReader(HttpReadLimits limits, HeadHandler headHandler, DataHandler dataHandler);
+
+    /** Takes what it can from the front of @p input. */
+    HttpReadState read(std::string &input);
+
+    /** The connection has ended; true when that completes the message. */
+    bool finishAtEnd();
+
+    const HttpHead &head() const;
+    bool hasHead() const;
+
+    /** Whether the connection may carry another message. */
+    bool keepsAlive() const;
+
+    /** The length that the message states; negative when it states none. */
+    std::int64_t statedLength() const;
+};
+
+using HttpRequestReader = HttpReader<true>;
+using HttpResponseReader = HttpReader<false>;
+
+}
--- a/drivers/loop.cpp
+++ b/drivers/loop.cpp
@@ -1,5 +1,7 @@
 #include "drivers/loop.h"
 
+#include "drivers/tcpsocket.h"
+
 #include <charconv>
 #include <ctime>
 
@@ -27,6 +29,15 @@
     info.timeout_secs = libraryTimeoutSeconds;
     info.user = this;
     m_context.reset(lws_create_context(&info));
+    m_watchProtocols[0].name = "socket";
+    m_watchProtocols[0].callback = handleSocket;
+    m_watchProtocols[1].name = "port";
+    m_watchProtocols[1].callback = handlePort;
+    lws_context_creation_info host{};
+    host.port = CONTEXT_PORT_NO_LISTEN;
+    host.protocols = m_watchProtocols;
+    host.vhost_name = "watch";
+    m_watchHost = m_context == nullptr ? nullptr : lws_create_vhost(m_context.get(), &host);
 }
 
 Loop::~Loop()
@@ -79,6 +90,36 @@
     lws_cancel_service(m_context.get());
 }
 
+lws *Loop::watch(int descriptor, WatchKind kind, void *owner)
+{
+    lws_sock_file_fd_type file;
+    file.filefd = descriptor;
+    const char *protocol = kind == WatchKind::Socket ? "socket" : "port";
+    lws *entry = lws_adopt_descriptor_vhost(m_watchHost, LWS_ADOPT_RAW_FILE_DESC, file, protocol, nullptr);
+    if (entry != nullptr) {
+        lws_set_opaque_user_data(entry, owner);
+    }
+    return entry;
+}
+
+int Loop::handleSocket(lws *entry, lws_callback_reasons reason, void *, void *, std::size_t)
+{
+    TcpSocket *socket = entry == nullptr ? nullptr : static_cast<TcpSocket *>(lws_get_opaque_user_data(entry));
+    if (socket != nullptr && !isClosing(entry)) {
+        socket->handleEvent(reason);
+    }
+    return 0;
+}
+
+int Loop::handlePort(lws *entry, lws_callback_reasons reason, void *, void *, std::size_t)
+{
+    TcpPort *port = entry == nullptr ? nullptr : static_cast<TcpPort *>(lws_get_opaque_user_data(entry));
+    if (port != nullptr && reason == LWS_CALLBACK_RAW_RX_FILE && !isClosing(entry)) {
+        port->acceptAll();
+    }
+    return 0;
+}
+
 lws_context *Loop::context() const
 {
     return m_context.get();
--- a/drivers/loop.h
+++ b/drivers/loop.h
@@ -14,6 +14,13 @@
 /** The one event loop of a process: sockets by libwebsockets, timers by the timer service. */
 class Loop
 {
+public:
+    /** What stands behind a descriptor that the loop watches. */
+    enum class WatchKind {
+        Socket,
+        Port,
+    };
+
 private:
     struct ContextDeleter
     {
@@ -35,8 +42,12 @@
     WakeUp m_wakeUp;
     bool m_isStopped = false;
     bool m_isClosing = false;
+    lws_vhost *m_watchHost = nullptr;
+    lws_protocols m_watchProtocols[3]{};
 
     void scheduleWakeUp();
+    static int handleSocket(lws *entry, lws_callback_reasons reason, void *user, void *in, std::size_t length);
+    static int handlePort(lws *entry, lws_callback_reasons reason, void *user, void *in, std::size_t length);
     static void wakeUp(lws_sorted_usec_list_t *entry);
 
 public:
@@ -59,6 +70,13 @@
     void stop();
 
     lws_context *context() const;
+
+    /**
+     * Watches a descriptor, which the library closes with the entry.
+     * @p owner is a TcpSocket or TcpPort, as @p kind says
+     */
+    lws *watch(int descriptor, WatchKind kind, void *owner);
+
     TimerService &timers();
 
     /** The time now. */
--- a/drivers/peernetwork.cpp
+++ b/drivers/peernetwork.cpp
@@ -45,7 +45,8 @@
     info.protocols = m_protocols;
     info.user = this;
     info.vhost_name = "peer";
-    info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG | LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+    info.options
+        = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG | LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.listen_accept_role = "raw-skt";
     info.listen_accept_protocol = "peer";
     m_vhost = lws_create_vhost(m_context, &info);
--- /dev/null
+++ b/drivers/tcpsocket.cpp
@@ -0,0 +1,315 @@
+#include "drivers/tcpsocket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr std::size_t readBytes = 16 * 1024;
+constexpr int listenBacklog = 512;
+
+// A peer without power answers nothing; unacknowledged data and idle links
+// are given up after this time. Units are those of the socket options.
+constexpr int unacknowledgedMilliseconds = 2000;
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+void configure(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+}
+
+sockaddr_in toSystemAddress(const SocketAddress &address)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(static_cast<std::uint16_t>(address.port));
+    inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
+    return result;
+}
+
+/** Hands the descriptor of @p entry, which the library closes with it, back to the loop to close. */
+void closeSoon(lws *entry)
+{
+    lws_set_opaque_user_data(entry, nullptr);
+    lws_set_timeout(entry, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+}
+
+TcpSocket::TcpSocket(Loop &loop, Handlers handlers)
+    : m_loop(loop)
+    , m_handlers(std::move(handlers))
+{
+}
+
+TcpSocket::~TcpSocket()
+{
+    *m_isAlive = false;
+    release(false);
+}
+
+bool TcpSocket::attach(int descriptor)
+{
+    m_descriptor = descriptor;
+    m_entry = m_loop.watch(descriptor, Loop::WatchKind::Socket, this);
+    if (m_entry == nullptr) {
+        ::close(descriptor);
+        m_descriptor = -1;
+        return false;
+    }
+    return true;
+}
+
+bool TcpSocket::connect(const SocketAddress &address)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return false;
+    }
+    configure(descriptor);
+    const sockaddr_in target = toSystemAddress(address);
+    const int result = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof target);
+    if (result < 0 && errno != EINPROGRESS) {
+        ::close(descriptor);
+        return false;
+    }
+    m_isConnecting = true;
+    if (!attach(descriptor)) {
+        return false;
+    }
+    lws_callback_on_writable(m_entry);
+    return true;
+}
+
+bool TcpSocket::adopt(int descriptor)
+{
+    configure(descriptor);
+    return attach(descriptor);
+}
+
+void TcpSocket::write(std::string_view data)
+{
+    if (m_isEnded || m_descriptor < 0) {
+        return;
+    }
+    m_output.append(data);
+    if (!m_isConnecting) {
+        flush();
+    }
+}
+
+void TcpSocket::flush()
+{
+    while (m_sentBytes < m_output.size()) {
+        const ssize_t count = ::send(m_descriptor, m_output.data() + m_sentBytes, m_output.size() - m_sentBytes, MSG_NOSIGNAL);
+        if (count < 0) {
+            if (errno == EINTR) {
+                continue;
+            }
+            // A broken connection is reported by the next read, so that a
+            // caller of write() is never called back from within it.
+            lws_callback_on_writable(m_entry);
+            break;
+        }
+        m_sentBytes += static_cast<std::size_t>(count);
+    }
+    if (m_sentBytes == m_output.size()) {
+        m_output = std::string();
+        m_sentBytes = 0;
+    }
+}
+
+std::size_t TcpSocket::bufferedBytes() const
+{
+    return m_output.size() - m_sentBytes;
+}
+
+void TcpSocket::pauseReading()
+{
+    if (!m_isPaused && m_entry != nullptr) {
+        m_isPaused = true;
+        lws_rx_flow_control(m_entry, 0);
+    }
+}
+
+void TcpSocket::resumeReading()
+{
+    if (m_isPaused && m_entry != nullptr) {
+        m_isPaused = false;
+        lws_rx_flow_control(m_entry, 1);
+    }
+}
+
+void TcpSocket::abortOnClose()
+{
+    if (m_descriptor >= 0) {
+        const linger option{1, 0};
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+    release(true);
+}
+
+void TcpSocket::release(bool isAborted)
+{
+    if (m_entry != nullptr) {
+        if (!isAborted) {
+            ::shutdown(m_descriptor, SHUT_RDWR);
+        }
+        closeSoon(m_entry);
+        m_entry = nullptr;
+        m_descriptor = -1;
+    }
+}
+
+void TcpSocket::end(SocketEnd how)
+{
+    if (m_isEnded) {
+        return;
+    }
+    m_isEnded = true;
+    release(false);
+    if (m_handlers.onEnd) {
+        m_handlers.onEnd(how);
+    }
+}
+
+void TcpSocket::readAll()
+{
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    std::array<char, readBytes> buffer;
+    while (*isAlive && m_descriptor >= 0 && !m_isPaused) {
+        const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (count > 0) {
+            m_handlers.onData(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+            if (count < static_cast<ssize_t>(buffer.size())) {
+                return;
+            }
+            continue;
+        }
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            return;
+        }
+        end(count == 0 ? SocketEnd::Finished : SocketEnd::Reset);
+        return;
+    }
+}
+
+void TcpSocket::becomeWritable()
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        end(SocketEnd::Reset);
+        return;
+    }
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    if (m_isConnecting) {
+        m_isConnecting = false;
+        if (m_handlers.onConnected) {
+            m_handlers.onConnected();
+        }
+        if (!*isAlive || m_descriptor < 0) {
+            return;
+        }
+    }
+    flush();
+    if (m_output.empty() && m_handlers.onDrained) {
+        m_handlers.onDrained();
+    }
+}
+
+void TcpSocket::handleEvent(lws_callback_reasons reason)
+{
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+        if (!m_isConnecting) {
+            readAll();
+        }
+        return;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        becomeWritable();
+        return;
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
+        m_entry = nullptr;
+        m_descriptor = -1;
+        end(SocketEnd::Reset);
+        return;
+    default:
+        return;
+    }
+}
+
+TcpPort::TcpPort(Loop &loop, AcceptHandler handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+{
+}
+
+TcpPort::~TcpPort()
+{
+    if (m_entry != nullptr) {
+        closeSoon(m_entry);
+    }
+}
+
+bool TcpPort::open(const SocketAddress &address)
+{
+    m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_descriptor < 0) {
+        return false;
+    }
+    setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    const sockaddr_in local = toSystemAddress(address);
+    if (::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof local) < 0 || ::listen(m_descriptor, listenBacklog) < 0) {
+        ::close(m_descriptor);
+        m_descriptor = -1;
+        return false;
+    }
+    m_entry = m_loop.watch(m_descriptor, Loop::WatchKind::Port, this);
+    if (m_entry == nullptr) {
+        ::close(m_descriptor);
+        m_descriptor = -1;
+        return false;
+    }
+    return true;
+}
+
+void TcpPort::acceptAll()
+{
+    while (true) {
+        const int descriptor = ::accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            return;
+        }
+        m_handler(descriptor);
+    }
+}
+
+}
--- /dev/null
+++ b/main/companion/companionrole.cpp
@@ -0,0 +1,255 @@
+#include "main/companion/companionrole.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+#include <vector>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr Duration storeTimeout = std::chrono::milliseconds(1000);
+
+// Nothing here depends on fresh keys, and calls are priced: a change ends the wait at once.
+constexpr Duration feedWait = std::chrono::seconds(20);
+
+constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr Duration reportPeriod = std::chrono::milliseconds(200);
+constexpr Duration reportTimeout = std::chrono::milliseconds(500);
+constexpr Duration orderTimeout = std::chrono::milliseconds(800);
+constexpr Duration fenceRetry = std::chrono::milliseconds(500);
+
+// A state that has not changed is told again after this time, so that it does not age out.
+constexpr Duration tellPeriod = std::chrono::milliseconds(600);
+
+// The table in which each daemon leaves its name; the write gives it a fencing token.
+constexpr const char *holderTable = "holders";
+
+// Load is told when it has changed by this many requests.
+constexpr std::int64_t toldLoadStep = 2;
+
+}
+
+CompanionRole::CompanionRole(DaemonCore &core, PeerLinks &links, const PlatformSettings &settings)
+    : m_core(core)
+    , m_links(links)
+    , m_log(core.settings().daemon)
+    , m_pool(core.loop())
+    , m_store(m_pool, parseSocketAddress(core.settings().table), storeTimeout)
+    , m_operators(core.loop(), m_store, m_log, feedWait)
+    , m_endpoints(core.loop(), m_store, m_log, feedWait, settings.returnGrace)
+    , m_engine(m_pool, parseSocketAddress(core.settings().engine))
+    , m_rollout(WeightsRollout::Settings())
+    , m_engineAddress(core.settings().engine)
+{
+    m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
+        takeMessage(origin, body);
+    });
+    m_links.onClosed([this](PeerNetwork::LinkId link) {
+        m_subscribers.erase(link);
+    });
+    m_operators.onWeights([this](const std::string &, std::int64_t) {
+        nameWeights();
+    });
+}
+
+bool CompanionRole::open()
+{
+    m_operators.start();
+    m_endpoints.start();
+    acquireFence();
+    askEngine();
+    m_core.timers().subscribe(tickPeriod, [this](TimePoint now) {
+        tick(now);
+    });
+    m_core.timers().subscribe(reportPeriod, [this](TimePoint) {
+        askEngine();
+    });
+    m_log.write("daemon", "started", {{"engine", m_engineAddress}, {"zone", m_core.settings().zone}});
+    return true;
+}
+
+void CompanionRole::acquireFence()
+{
+    m_store.put(holderTable, m_engineAddress, m_core.settings().daemon, [this](const platform::StoreReply &reply) {
+        if (reply.failure.has_value()) {
+            m_core.timers().subscribeOnce(fenceRetry, [this](TimePoint) {
+                acquireFence();
+            });
+            return;
+        }
+        m_fence = reply.rows.version;
+        m_log.write("orders", "fencing token acquired", {{"fence", std::to_string(m_fence)}});
+    });
+}
+
+void CompanionRole::takeMessage(const MessageOrigin &origin, const wire::Body &body)
+{
+    if (!body.__isset.demandReport) {
+        return;
+    }
+    if (m_subscribers.insert(origin.link).second) {
+        m_log.write("peer", "entry daemon linked", {{"entry", origin.sender}});
+        tell(origin.link, stateNow());
+    }
+}
+
+const ListedEndpoint *CompanionRole::ownEntry() const
+{
+    const ListedEndpoint *own = nullptr;
+    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints.directory().all()) {
+        const bool isSameStart = m_report.has_value() && entry.second.startedMs == m_report->startedMs;
+        if (entry.second.address == m_engineAddress && (own == nullptr || isSameStart)) {
+            own = &entry.second;
+        }
+    }
+    return own;
+}
+
+void CompanionRole::nameWeights()
+{
+    const ListedEndpoint *own = ownEntry();
+    if (!m_report.has_value()) {
+        return;
+    }
+    std::vector<std::string> pool;
+    if (own != nullptr) {
+        for (const ListedEndpoint *endpoint : m_endpoints.directory().available(own->service)) {
+            pool.push_back(endpoint->id);
+        }
+    }
+    const OperatorFeed::NamedWeightsState named = m_operators.namedWeights(m_report->model);
+    if (named.version > m_rollout.wantedVersion()) {
+        m_rollout.name(named.version, pool, own == nullptr ? std::string() : own->id, Loop::now());
+    }
+}
+
+void CompanionRole::askEngine()
+{
+    if (m_isAsking) {
+        return;
+    }
+    m_isAsking = true;
+    m_engine.report(reportTimeout, [this](const std::optional<platform::EngineReport> &report) {
+        m_isAsking = false;
+        takeReport(report);
+    });
+}
+
+void CompanionRole::takeReport(const std::optional<platform::EngineReport> &report)
+{
+    if (m_isAnswering != report.has_value()) {
+        m_log.write("engine", report.has_value() ? "answers" : "does not answer", {{"engine", m_engineAddress}});
+    }
+    m_isAnswering = report.has_value();
+    if (report.has_value()) {
+        if (m_report.has_value() && m_report->startedMs != report->startedMs) {
+            m_log.write("engine", "restarted", {{"engine", m_engineAddress}, {"weights", std::to_string(report->weightsVersion)}});
+            m_rollout.restart();
+        }
+        m_report = report;
+        nameWeights();
+        m_rollout.report(report->weightsVersion, report->isBusy, Loop::now());
+    }
+    act();
+}
+
+void CompanionRole::tick(TimePoint)
+{
+    act();
+}
+
+void CompanionRole::act()
+{
+    if (m_rollout.step(Loop::now()) == WeightsRollout::Step::Order && m_isAnswering && m_fence > 0 && !m_isOrdering) {
+        giveOrder();
+    }
+    tellIfChanged();
+}
+
+void CompanionRole::giveOrder()
+{
+    const ListedEndpoint *own = ownEntry();
+    platform::LoadOrder order;
+    order.model = m_report->model;
+    order.version = m_rollout.wantedVersion();
+    order.running = platform::LoadOrder::Running::Continue;
+    order.holder = m_core.settings().daemon;
+    order.fence = m_fence;
+    order.expectedOrders = m_report->acceptedOrders;
+    const bool isKnown = own != nullptr && own->startedMs == m_report->startedMs;
+    order.instance = isKnown ? own->id : std::string();
+    m_isOrdering = true;
+    m_rollout.noteOrdered(Loop::now());
+    m_engine.order(order, orderTimeout, [this, order](platform::OrderOutcome outcome, int status) {
+        m_isOrdering = false;
+        m_log.write("orders", "load ordered",
+                    {{"weights", std::to_string(order.version)},
+                     {"expected", std::to_string(order.expectedOrders)},
+                     {"fence", std::to_string(order.fence)},
+                     {"status", std::to_string(status)}});
+        if (outcome == platform::OrderOutcome::Refused) {
+            m_rollout.noteRefused(Loop::now());
+        }
+        askEngine();
+    });
+}
+
+wire::EngineState CompanionRole::stateNow() const
+{
+    wire::EngineState state;
+    state.address = m_engineAddress;
+    state.isAnswering = m_isAnswering;
+    state.isLoading = m_rollout.isLoading(Loop::now());
+    if (m_report.has_value()) {
+        state.startedMs = m_report->startedMs;
+        state.weightsVersion = m_report->weightsVersion;
+        state.running = m_report->running;
+        state.waiting = m_report->waiting;
+        state.usedTokens = m_report->usedTokens;
+        state.totalTokens = m_report->totalTokens;
+    }
+    return state;
+}
+
+void CompanionRole::tellIfChanged()
+{
+    const wire::EngineState state = stateNow();
+    const bool isChanged = state.startedMs != m_told.startedMs || state.isAnswering != m_told.isAnswering
+        || state.isLoading != m_told.isLoading || state.weightsVersion != m_told.weightsVersion
+        || std::abs(state.running - m_told.running) >= toldLoadStep || std::abs(state.waiting - m_told.waiting) >= toldLoadStep;
+    const TimePoint now = Loop::now();
+    if (!isChanged && m_toldAt != timeNever && now - m_toldAt < tellPeriod) {
+        return;
+    }
+    m_told = state;
+    m_toldAt = now;
+    const std::vector<PeerNetwork::LinkId> links(m_subscribers.begin(), m_subscribers.end());
+    for (const PeerNetwork::LinkId link : links) {
+        tell(link, state);
+    }
+}
+
+void CompanionRole::tell(PeerNetwork::LinkId link, const wire::EngineState &state)
+{
+    wire::Body body;
+    body.__set_engineState(state);
+    if (!m_links.send(link, body)) {
+        m_subscribers.erase(link);
+    }
+}
+
+void CompanionRole::beginStop()
+{
+    m_log.write("daemon", "stopping", {});
+}
+
+bool CompanionRole::isIdle() const
+{
+    return true;
+}
+
+}
--- /dev/null
+++ b/main/feeds/endpointfeed.cpp
@@ -0,0 +1,114 @@
+#include "main/feeds/endpointfeed.h"
+
+#include "platform/endpointdecoder.h"
+#include "platform/names.h"
+
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr Duration removalCheckPeriod = std::chrono::milliseconds(200);
+
+}
+
+EndpointFeed::EndpointFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait, Duration returnGrace)
+    : m_log(log)
+    , m_directory(returnGrace)
+    , m_feed(loop, store, log, platform::names::endpointTable, wait,
+             StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows) {
+                                     takeSnapshot(rows);
+                                 },
+                                 [this](const std::vector<platform::StoreRow> &rows) {
+                                     takeChanges(rows);
+                                 },
+                                 [](TimePoint) {},
+                                 [this](TimePoint now) {
+                                     m_directory.noteOutage(now);
+                                 }})
+{
+    loop.timers().subscribe(removalCheckPeriod, [this](TimePoint now) {
+        if (m_directory.applyDueRemovals(now)) {
+            changed();
+        }
+    });
+}
+
+void EndpointFeed::onChange(ChangeHandler handler)
+{
+    m_changeHandler = std::move(handler);
+}
+
+void EndpointFeed::start()
+{
+    m_feed.start();
+}
+
+void EndpointFeed::logMalformed(const platform::StoreRow &row)
+{
+    m_log.write("endpoints", "malformed entry", {{"id", row.key}, {"row", std::to_string(row.version)}});
+}
+
+void EndpointFeed::changed()
+{
+    if (m_changeHandler) {
+        m_changeHandler();
+    }
+}
+
+void EndpointFeed::takeSnapshot(const std::vector<platform::StoreRow> &rows)
+{
+    std::vector<ListedEndpoint> endpoints;
+    for (const platform::StoreRow &row : rows) {
+        std::optional<ListedEndpoint> endpoint = platform::decodeListedEndpoint(row.key, row.value);
+        if (endpoint.has_value()) {
+            endpoints.push_back(std::move(*endpoint));
+        } else {
+            logMalformed(row);
+        }
+    }
+    m_log.write("endpoints", "list read", {{"endpoints", std::to_string(endpoints.size())}});
+    m_directory.replaceAll(std::move(endpoints), Loop::now());
+    m_isKnown = true;
+    changed();
+}
+
+void EndpointFeed::takeChanges(const std::vector<platform::StoreRow> &rows)
+{
+    for (const platform::StoreRow &row : rows) {
+        if (row.isDeleted) {
+            m_log.write("endpoints", "entry removed", {{"id", row.key}});
+            m_directory.remove(row.key, Loop::now());
+            continue;
+        }
+        std::optional<ListedEndpoint> endpoint = platform::decodeListedEndpoint(row.key, row.value);
+        if (!endpoint.has_value()) {
+            logMalformed(row);
+            m_directory.remove(row.key, Loop::now());
+            continue;
+        }
+        m_log.write("endpoints", "entry changed",
+                    {{"id", row.key},
+                     {"service", endpoint->service},
+                     {"address", endpoint->address},
+                     {"state", endpoint->isDraining ? "draining" : "ready"},
+                     {"weights", std::to_string(endpoint->weightsVersion)}});
+        m_directory.put(std::move(*endpoint));
+    }
+    changed();
+}
+
+const EndpointDirectory &EndpointFeed::directory() const
+{
+    return m_directory;
+}
+
+bool EndpointFeed::isKnown() const
+{
+    return m_isKnown;
+}
+
+}
--- /dev/null
+++ b/main/feeds/endpointfeed.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "main/feeds/storefeed.h"
+#include "servers/endpointdirectory.h"
+
+#include <functional>
+
+namespace citronspar
+{
+
+/** Keeps the directory of endpoints in step with the platform's list. */
+class EndpointFeed
+{
+public:
+    using ChangeHandler = std::function<void()>;
+
+private:
+    DecisionLog &m_log;
+    EndpointDirectory m_directory;
+    StoreFeed m_feed;
+    ChangeHandler m_changeHandler;
+    bool m_isKnown = false;
+
+    void takeSnapshot(const std::vector<platform::StoreRow> &rows);
+    void takeChanges(const std::vector<platform::StoreRow> &rows);
+    void logMalformed(const platform::StoreRow &row);
+    void changed();
+
+public:
+    /** @param returnGrace see EndpointDirectory */
+    EndpointFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait, Duration returnGrace);
+
+    /** Called when an endpoint came, changed or left. */
+    void onChange(ChangeHandler handler);
+    void start();
+
+    const EndpointDirectory &directory() const;
+
+    /** Whether the list was read at least once. */
+    bool isKnown() const;
+};
+
+}
--- /dev/null
+++ b/main/feeds/operatorfeed.cpp
@@ -0,0 +1,112 @@
+#include "main/feeds/operatorfeed.h"
+
+#include "platform/configdecoder.h"
+#include "platform/names.h"
+
+#include <utility>
+
+namespace citronspar
+{
+
+OperatorFeed::OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait)
+    : m_log(log)
+    , m_feed(loop, store, log, platform::names::operatorTable, wait,
+             StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows) {
+                                     take(rows);
+                                 },
+                                 [this](const std::vector<platform::StoreRow> &rows) {
+                                     take(rows);
+                                 },
+                                 [this](TimePoint askedAt) {
+                                     m_confirmedAt = std::max(m_confirmedAt, askedAt);
+                                 },
+                                 [](TimePoint) {}})
+{
+}
+
+void OperatorFeed::onConfig(ConfigHandler handler)
+{
+    m_configHandler = std::move(handler);
+}
+
+void OperatorFeed::onWeights(WeightsHandler handler)
+{
+    m_weightsHandler = std::move(handler);
+}
+
+void OperatorFeed::start()
+{
+    m_feed.start();
+}
+
+void OperatorFeed::take(const std::vector<platform::StoreRow> &rows)
+{
+    for (const platform::StoreRow &row : rows) {
+        if (row.isDeleted) {
+            continue;
+        }
+        if (row.key == platform::names::configKey) {
+            takeConfig(row);
+        } else if (row.key.rfind(platform::names::weightsKeyPrefix, 0) == 0) {
+            takeWeights(row);
+        }
+    }
+}
+
+void OperatorFeed::takeConfig(const platform::StoreRow &row)
+{
+    platform::ConfigDecoder decoder;
+    std::optional<TrafficConfig> config = decoder.decode(row.value);
+    if (!config.has_value()) {
+        m_log.write("config", "malformed", {{"row", std::to_string(row.version)}, {"reason", decoder.lastReason()}});
+        return;
+    }
+    if (m_config != nullptr && config->version <= m_config->version) {
+        return;
+    }
+    m_config = std::make_shared<const TrafficConfig>(std::move(*config));
+    m_log.write("config", "in force",
+                {{"version", std::to_string(m_config->version)},
+                 {"routes", std::to_string(m_config->routes.size())},
+                 {"accounts", std::to_string(m_config->accounts.size())}});
+    if (m_configHandler) {
+        m_configHandler(*m_config);
+    }
+}
+
+void OperatorFeed::takeWeights(const platform::StoreRow &row)
+{
+    const std::optional<platform::NamedWeights> named = platform::decodeNamedWeights(row.value);
+    if (!named.has_value()) {
+        m_log.write("weights", "malformed", {{"row", std::to_string(row.version)}, {"key", row.key}});
+        return;
+    }
+    NamedWeightsState &state = m_weights[named->model];
+    if (named->version <= state.version) {
+        return;
+    }
+    state.version = named->version;
+    state.learntAt = Loop::now();
+    m_log.write("weights", "named", {{"model", named->model}, {"version", std::to_string(named->version)}});
+    if (m_weightsHandler) {
+        m_weightsHandler(named->model, named->version);
+    }
+}
+
+const std::shared_ptr<const TrafficConfig> &OperatorFeed::config() const
+{
+    return m_config;
+}
+
+OperatorFeed::NamedWeightsState OperatorFeed::namedWeights(const std::string &model) const
+{
+    const auto found = m_weights.find(model);
+    return found == m_weights.end() ? NamedWeightsState() : found->second;
+}
+
+TimePoint OperatorFeed::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
+}
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,10 +1,12 @@
 #include "core/scopeguard.h"
 #include "drivers/log.h"
+#include "main/companion/companionrole.h"
 #include "main/configservice.h"
 #include "main/daemoncore.h"
 #include "main/endpointrole.h"
 #include "main/entryrole.h"
 #include "main/peerlinks.h"
+#include "main/proxy/proxyrole.h"
 #include "main/settings.h"
 #include "servers/routingstrategies.h"
 
@@ -75,6 +77,15 @@
     return std::make_unique<EntryRole>(core, links, config, std::move(strategy));
 }
 
+std::unique_ptr<Role> makePlatformRole(DaemonCore &core, PeerLinks &links)
+{
+    const PlatformSettings &platform = *core.settings().platform;
+    if (core.settings().role == Settings::Role::Endpoint) {
+        return std::make_unique<CompanionRole>(core, links, platform);
+    }
+    return std::make_unique<ProxyRole>(core, links, platform);
+}
+
 int runDaemon(const Settings &settings)
 {
     const log4cxx::LoggerPtr logger = partLogger("daemon");
@@ -88,12 +99,20 @@
         LOG4CXX_ERROR(logger, "can't listen on " << settings.peerListen);
         return EXIT_FAILURE;
     }
-    ConfigService config(core, links);
-    const std::unique_ptr<Role> role = makeRole(core, links, config);
+    std::unique_ptr<ConfigService> config;
+    std::unique_ptr<Role> role;
+    if (settings.platform.has_value()) {
+        role = makePlatformRole(core, links);
+    } else {
+        config = std::make_unique<ConfigService>(core, links);
+        role = makeRole(core, links, *config);
+    }
     if (role == nullptr || !role->open()) {
         return EXIT_FAILURE;
     }
-    config.start();
+    if (config != nullptr) {
+        config->start();
+    }
     bool isStopping = false;
     core.timers().subscribe(stopPoll, [&](TimePoint) {
         if (isStopRequested != 0 && !isStopping) {
--- /dev/null
+++ b/main/proxy/proxycall.cpp
@@ -0,0 +1,460 @@
+#include "main/proxy/proxycall.h"
+
+#include "core/hash.h"
+#include "core/metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+// An endpoint that turned a request away is left alone for this long.
+constexpr Duration avoidAfterRefusal = std::chrono::milliseconds(150);
+constexpr Duration avoidAfterNoConnection = std::chrono::milliseconds(600);
+
+// A repeat of a request that may not run twice goes out on a connection that
+// was used within this time, as older ones may have died without notice.
+constexpr Duration maxIdleAtMostOnce = std::chrono::milliseconds(1000);
+constexpr Duration maxIdleIdempotent = std::chrono::seconds(10);
+
+constexpr Duration endpointConnectTimeout = std::chrono::milliseconds(400);
+
+// Answers without a stream are held until they are whole, up to this size, so
+// that a broken one can still be replaced.
+constexpr std::size_t maxHeldBytes = 256 * 1024;
+
+// The endpoint is slowed down while the caller has this much to take.
+constexpr std::size_t maxCallerBacklog = 256 * 1024;
+
+constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
+constexpr std::uint64_t retryAfterSpreadMicroseconds = 350000;
+
+constexpr std::uint64_t splitSeed = 0x5711;
+constexpr std::uint64_t prefixSeed = 0x9e37;
+constexpr int serverError = 500;
+
+/** The parts of a prompt that other requests share: all but the last. */
+PlacedPrompt placedPrompt(const platform::CallerRequest &request)
+{
+    PlacedPrompt prompt;
+    for (std::size_t i = 0; i < request.parts.size(); ++i) {
+        const platform::PromptPart &part = request.parts[i];
+        if (i + 1 < request.parts.size()) {
+            prompt.sharedHash = hashCombine(prompt.sharedHash, hashBytes(part.id, prefixSeed));
+            prompt.sharedTokens += part.tokens;
+        } else {
+            prompt.ownTokens += part.tokens;
+        }
+    }
+    return prompt;
+}
+
+}
+
+ProxyCall::ProxyCall(ProxyServices &services, HttpListener::ExchangeId exchange, HttpIncoming incoming, EndHandler onEnd)
+    : m_services(services)
+    , m_exchange(exchange)
+    , m_incoming(std::move(incoming))
+    , m_request(platform::decodeCallerRequest(m_incoming.head))
+    , m_onEnd(std::move(onEnd))
+{
+}
+
+ProxyCall::~ProxyCall()
+{
+    m_services.loop.timers().unsubscribe(m_timeoutTimer);
+}
+
+EndpointPlacement &ProxyCall::placement()
+{
+    return m_isEngineService ? m_services.engines : m_services.plain;
+}
+
+void ProxyCall::start()
+{
+    const std::optional<ErrorKind> refusal = admit();
+    if (refusal.has_value()) {
+        fail(*refusal);
+        return;
+    }
+    m_services.retries.addRequest();
+    m_ledger.emplace(m_route->repeat, m_route->maxAttempts);
+    m_prompt = placedPrompt(m_request);
+    m_timeoutAt = m_incoming.arrived + m_route->timeout;
+    const Duration left = std::max(m_timeoutAt - Loop::now(), Duration::zero());
+    m_timeoutTimer = m_services.loop.timers().subscribeOnce(left, [this](TimePoint) {
+        timeOut();
+    });
+    send();
+}
+
+std::optional<ErrorKind> ProxyCall::admit()
+{
+    m_config = m_services.operators.config();
+    if (m_config == nullptr || !m_services.endpoints.isKnown()) {
+        return ErrorKind::NotFresh;
+    }
+    if (m_request.id.empty()) {
+        return ErrorKind::BadRequest;
+    }
+    const bool isFresh = m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now());
+    m_route = m_config->findRoute(m_request.host, m_request.path);
+    if (m_route == nullptr) {
+        return isFresh ? ErrorKind::UnknownRoute : ErrorKind::NotFresh;
+    }
+    const std::optional<ErrorKind> keyError = checkKey();
+    if (keyError.has_value()) {
+        return isFresh || *keyError == ErrorKind::NotFresh ? keyError : ErrorKind::NotFresh;
+    }
+    const std::uint64_t requestHash = hashBytes(m_request.id, splitSeed);
+    m_service = chooseService(*m_route, requestHash);
+    const auto service = m_config->services.find(m_service);
+    m_isEngineService = service != m_config->services.end() && service->second.isEngine;
+    return std::nullopt;
+}
+
+std::optional<ErrorKind> ProxyCall::checkKey()
+{
+    if (!m_route->needsKey) {
+        return std::nullopt;
+    }
+    if (!m_request.key.has_value()) {
+        return ErrorKind::KeyMissing;
+    }
+    if (!m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now())) {
+        return ErrorKind::NotFresh;
+    }
+    m_account = m_config->findAccount(*m_request.key);
+    return m_account == nullptr ? std::optional<ErrorKind>(ErrorKind::KeyRejected) : std::nullopt;
+}
+
+std::optional<EndpointPlacement::Choice> ProxyCall::choosePlace()
+{
+    const TimePoint now = Loop::now();
+    std::vector<EndpointPlacement::Candidate> candidates;
+    std::string model;
+    for (const ListedEndpoint *endpoint : m_services.endpoints.directory().available(m_service)) {
+        candidates.push_back(EndpointPlacement::Candidate{endpoint->id, endpoint->weightsVersion});
+        model = endpoint->model;
+    }
+    const OperatorFeed::NamedWeightsState named = m_services.operators.namedWeights(m_request.model.empty() ? model : m_request.model);
+    const Duration margin = std::chrono::milliseconds(500);
+    const bool refusesOld = named.version > 0 && now - named.learntAt > m_services.weightsDeadline - margin;
+    return placement().choose(m_prompt, candidates, m_isEngineService ? named.version : 0, refusesOld, m_excluded, now);
+}
+
+std::string ProxyCall::cacheSalt(std::int64_t weightsVersion) const
+{
+    std::string salt = "w" + std::to_string(weightsVersion);
+    if (m_account != nullptr && m_account->isIsolated) {
+        salt += "-" + m_account->name;
+    }
+    return salt;
+}
+
+platform::ForwardTraits ProxyCall::traitsFor(const EndpointPlacement::Choice &choice) const
+{
+    const TimePoint now = Loop::now();
+    platform::ForwardTraits traits;
+    Duration left = m_timeoutAt - now;
+    if (m_request.deadline.has_value()) {
+        left = std::min(left, *m_request.deadline - (now - m_incoming.arrived));
+    }
+    traits.hasDeadline = true;
+    traits.deadline = left;
+    traits.instance = choice.id;
+    if (m_account != nullptr) {
+        traits.account = m_account->name;
+    }
+    if (!m_isEngineService) {
+        return traits;
+    }
+    traits.priority = m_account != nullptr && m_account->priority.has_value() ? *m_account->priority : m_route->priority;
+    traits.priority = std::clamp(traits.priority, 0, 9);
+    traits.cacheSalt = cacheSalt(choice.weightsVersion);
+    traits.weightsVersion = choice.weightsVersion;
+    const std::string store = m_config->kvStoreAddress();
+    if (m_prompt.sharedTokens > 0 && !store.empty()) {
+        traits.fetchFrom = store;
+        traits.saveTo = store;
+    }
+    if (m_events.hasEvents()) {
+        traits.lastEventId = m_events.lastId();
+    }
+    return traits;
+}
+
+std::int64_t ProxyCall::expectedTokens() const
+{
+    return m_prompt.ownTokens;
+}
+
+void ProxyCall::send()
+{
+    const std::optional<EndpointPlacement::Choice> choice = choosePlace();
+    const ListedEndpoint *endpoint = choice.has_value() ? m_services.endpoints.directory().find(choice->id) : nullptr;
+    if (endpoint == nullptr) {
+        fail(ErrorKind::NoEndpoint);
+        return;
+    }
+    if (m_request.deadline.has_value() && Loop::now() - m_incoming.arrived >= *m_request.deadline) {
+        fail(ErrorKind::DeadlinePassed);
+        return;
+    }
+    m_endpoint = choice->id;
+    m_excluded.push_back(choice->id);
+    m_hasFirstToken = false;
+    m_sentAt = Loop::now();
+    m_ledger->noteSent();
+    placement().noteSent(m_endpoint, expectedTokens());
+    HttpCall call;
+    call.target = parseSocketAddress(endpoint->address);
+    call.poolKey = endpoint->id + "@" + endpoint->address;
+    call.head = platform::forwardHead(m_incoming.head, traitsFor(*choice));
+    call.body = m_incoming.body;
+    call.echoHeader = platform::echoedHeader();
+    call.connectTimeout = endpointConnectTimeout;
+    call.maxIdle = m_route->repeat == RepeatRule::AtMostOnce ? maxIdleAtMostOnce : maxIdleIdempotent;
+    HttpPool::Handlers handlers;
+    handlers.onHead = [this](const HttpHead &head, std::int64_t length) {
+        takeHead(head, length);
+    };
+    handlers.onData = [this](std::string_view data) {
+        takeData(data);
+    };
+    handlers.onEnd = [this](HttpCallEnd end) {
+        takeEnd(end);
+    };
+    m_call = m_services.pool.send(std::move(call), std::move(handlers));
+    m_services.log.write("request", "sent",
+                         {{"request", m_request.id},
+                          {"route", m_route->name},
+                          {"config", std::to_string(m_config->version)},
+                          {"endpoint", m_endpoint},
+                          {"weights", std::to_string(choice->weightsVersion)},
+                          {"home", choice->isHome ? "yes" : "no"},
+                          {"try", std::to_string(m_ledger->tries())}});
+}
+
+void ProxyCall::noteFirstToken()
+{
+    if (!m_hasFirstToken) {
+        m_hasFirstToken = true;
+        placement().noteFirstToken(m_endpoint, expectedTokens());
+    }
+}
+
+void ProxyCall::leaveEndpoint()
+{
+    if (m_endpoint.empty()) {
+        return;
+    }
+    noteFirstToken();
+    placement().noteEnd(m_endpoint);
+    m_endpoint.clear();
+    m_call = 0;
+}
+
+void ProxyCall::takeHead(const HttpHead &head, std::int64_t length)
+{
+    m_answerHead = head;
+    m_answerLength = length;
+    m_answer = platform::decodeEndpointAnswer(head);
+    m_buffered.clear();
+}
+
+void ProxyCall::startForwarding()
+{
+    m_isForwarding = true;
+    // A stream may go on at another endpoint, so the length of its first part says nothing.
+    m_services.listener.begin(m_exchange, platform::answerHead(m_answerHead), m_route->isResumable ? -1 : m_answerLength);
+}
+
+void ProxyCall::takeData(std::string_view data)
+{
+    const bool isGoodStream = m_route->isStream && m_answer.isSigned && m_answer.status < 300;
+    if (!isGoodStream) {
+        m_buffered.append(data);
+        if (m_buffered.size() > maxHeldBytes && m_answer.isSigned) {
+            if (!m_isForwarding) {
+                startForwarding();
+            }
+            m_services.listener.write(m_exchange, m_buffered);
+            m_buffered.clear();
+        }
+        return;
+    }
+    noteFirstToken();
+    const std::string whole = m_events.add(data);
+    if (whole.empty()) {
+        return;
+    }
+    if (!m_isForwarding) {
+        m_services.metrics.sample("first event", Loop::now() - m_incoming.arrived);
+        startForwarding();
+    }
+    m_services.listener.write(m_exchange, whole);
+    if (m_services.listener.bufferedBytes(m_exchange) > maxCallerBacklog) {
+        m_services.pool.pause(m_call);
+    }
+}
+
+void ProxyCall::callerDrained()
+{
+    m_services.pool.resume(m_call);
+}
+
+void ProxyCall::takeEnd(HttpCallEnd end)
+{
+    const std::string endpoint = m_endpoint;
+    leaveEndpoint();
+    if (end == HttpCallEnd::NotSent) {
+        placement().noteFailure(endpoint, Loop::now());
+        placement().avoid(endpoint, Loop::now(), avoidAfterNoConnection);
+        m_ledger->noteNotRun();
+        retryOrFail(ErrorKind::NoEndpoint);
+        return;
+    }
+    if (end == HttpCallEnd::Broken) {
+        placement().noteFailure(endpoint, Loop::now());
+        takeBroken();
+        return;
+    }
+    if (m_answer.isNotRun) {
+        placement().avoid(endpoint, Loop::now(), avoidAfterRefusal);
+        takeNotRun();
+        return;
+    }
+    if (!m_answer.isSigned) {
+        // Not an answer that an endpoint gives to a request.
+        placement().noteFailure(endpoint, Loop::now());
+        takeBroken();
+        return;
+    }
+    if (m_answer.status >= serverError) {
+        placement().noteFailure(endpoint, Loop::now());
+    } else {
+        placement().noteSuccess(endpoint);
+    }
+    takeComplete();
+}
+
+void ProxyCall::takeNotRun()
+{
+    m_ledger->noteNotRun();
+    retryOrFail(ErrorKind::Overloaded);
+}
+
+void ProxyCall::takeBroken()
+{
+    m_events.dropPartial();
+    m_buffered.clear();
+    if (m_isForwarding && !m_route->isResumable) {
+        m_services.listener.abort(m_exchange);
+        finish("broken off");
+        return;
+    }
+    retryOrFail(ErrorKind::OutcomeUnknown);
+}
+
+void ProxyCall::retryOrFail(ErrorKind kind)
+{
+    const bool mayRetry = m_ledger->mayTryAgain() && m_services.retries.takeRetry();
+    if (mayRetry) {
+        send();
+        return;
+    }
+    fail(m_ledger->isSurelyNotRun() ? kind : ErrorKind::OutcomeUnknown);
+}
+
+void ProxyCall::takeComplete()
+{
+    const bool isFailure = m_answer.status >= serverError;
+    if (isFailure && !m_isForwarding && m_route->repeat == RepeatRule::Idempotent && m_ledger->mayTryAgain()
+        && m_services.retries.takeRetry()) {
+        send();
+        return;
+    }
+    if (!m_isForwarding) {
+        m_services.listener.respond(m_exchange, platform::answerHead(m_answerHead), m_events.partial() + m_buffered);
+        finish(isFailure ? "failed by the endpoint" : "answered");
+        return;
+    }
+    if (isFailure) {
+        // The run that was to go on failed; the caller has part of the first one.
+        m_services.listener.abort(m_exchange);
+        finish("broken off");
+        return;
+    }
+    m_services.listener.write(m_exchange, m_buffered);
+    m_services.listener.write(m_exchange, m_events.partial());
+    m_services.listener.finish(m_exchange);
+    finish("answered");
+}
+
+void ProxyCall::timeOut()
+{
+    m_timeoutTimer = 0;
+    m_services.pool.cancel(m_call);
+    leaveEndpoint();
+    fail(m_ledger->isSurelyNotRun() ? ErrorKind::NoEndpoint : ErrorKind::DeadlinePassed);
+}
+
+void ProxyCall::callerGone()
+{
+    m_services.pool.cancel(m_call);
+    leaveEndpoint();
+    finish("caller gone");
+}
+
+void ProxyCall::fail(ErrorKind kind)
+{
+    if (m_isForwarding) {
+        m_services.listener.abort(m_exchange);
+        finish("broken off");
+        return;
+    }
+    const ErrorAnswer &answer = errorAnswer(kind);
+    std::optional<Duration> retryAfter;
+    if (answer.httpStatus == 503 || answer.httpStatus == 429) {
+        const std::uint64_t spread = hashBytes(m_request.id, prefixSeed) % retryAfterSpreadMicroseconds;
+        retryAfter = retryAfterMin + Duration(static_cast<std::int64_t>(spread));
+    }
+    m_services.listener.respond(m_exchange, platform::ownAnswerHead(answer.httpStatus, m_request.id, retryAfter),
+                                std::string(answer.text) + "\n");
+    finish(answer.name);
+}
+
+void ProxyCall::logOutcome(const char *outcome)
+{
+    const Duration proofAge
+        = m_services.operators.confirmedAt() == timeNever ? Duration::zero() : Loop::now() - m_services.operators.confirmedAt();
+    m_services.log.write("request", outcome,
+                         {{"request", m_request.id},
+                          {"route", m_route == nullptr ? "" : m_route->name},
+                          {"account", m_account == nullptr ? "" : m_account->name},
+                          {"endpoint", m_excluded.empty() ? "" : m_excluded.back()},
+                          {"status", std::to_string(m_answer.status)},
+                          {"tries", std::to_string(m_excluded.size())},
+                          {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
+                          {"configAgeMs", millisecondsText(proofAge)}});
+}
+
+void ProxyCall::finish(const char *outcome)
+{
+    if (m_isEnded) {
+        return;
+    }
+    m_isEnded = true;
+    logOutcome(outcome);
+    m_services.metrics.count(std::string("requests ") + outcome);
+    m_services.metrics.sample("request", Loop::now() - m_incoming.arrived);
+    m_services.loop.timers().unsubscribe(m_timeoutTimer);
+    m_onEnd(m_exchange);
+}
+
+}
--- /dev/null
+++ b/main/proxy/proxyrole.cpp
@@ -0,0 +1,160 @@
+#include "main/proxy/proxyrole.h"
+
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr Duration storeTimeout = std::chrono::milliseconds(1000);
+
+// A question waits this long at the store. It bounds the age of what is known
+// of keys, so it is well below the time in which a withdrawn key must stop.
+constexpr Duration operatorWait = std::chrono::milliseconds(1200);
+constexpr Duration endpointWait = std::chrono::milliseconds(3000);
+
+// The platform takes a daemon out after two missed questions, one a second;
+// connections that were on their way come a little later.
+constexpr Duration acceptAfterStop = std::chrono::milliseconds(2600);
+
+// The process leaves this long before it would be killed.
+constexpr Duration leaveMargin = std::chrono::milliseconds(400);
+
+// Without a confirmation for this long callers are better served elsewhere.
+constexpr Duration readyProofAge = std::chrono::milliseconds(3000);
+
+// Entry daemons that share the retry budget until their number is known.
+constexpr double assumedEntryDaemons = 6;
+constexpr double retryShareUsed = 0.9;
+
+EndpointPlacement::Settings plainPlacement()
+{
+    EndpointPlacement::Settings settings;
+    settings.runningCostMs = 20;
+    settings.failureCostMs = 30;
+    return settings;
+}
+
+}
+
+ProxyRole::ProxyRole(DaemonCore &core, PeerLinks &links, const PlatformSettings &settings)
+    : m_core(core)
+    , m_platform(settings)
+    , m_log(core.settings().daemon)
+    , m_pool(core.loop())
+    , m_listener(core.loop())
+    , m_readyListener(core.loop())
+    , m_store(m_pool, parseSocketAddress(core.settings().table), storeTimeout)
+    , m_operators(core.loop(), m_store, m_log, operatorWait)
+    , m_endpoints(core.loop(), m_store, m_log, endpointWait, settings.returnGrace)
+    , m_engines(EndpointPlacement::Settings())
+    , m_plain(plainPlacement())
+    , m_retries(settings.retryShare * retryShareUsed, settings.retrySlack * retryShareUsed / assumedEntryDaemons)
+    , m_freshness(settings.keyRevocation)
+    , m_engineLinks(core, links, m_operators, m_endpoints, m_engines, m_log, settings.peerPort)
+    , m_services{core.loop(), m_listener, m_pool,      m_operators, m_endpoints,    m_engines,
+                 m_plain,     m_retries,  m_freshness, m_log,       core.metrics(), settings.weightsDeadline}
+{
+    m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncoming request) {
+        startCall(id, std::move(request));
+    });
+    m_listener.onGone([this](HttpListener::ExchangeId id) {
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end()) {
+            found->second->callerGone();
+        }
+    });
+    m_listener.onDrained([this](HttpListener::ExchangeId id) {
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end()) {
+            found->second->callerDrained();
+        }
+    });
+    m_readyListener.onRequest([this](HttpListener::ExchangeId id, const HttpIncoming &request) {
+        answerReadiness(id, request);
+    });
+    m_operators.onConfig([this](const TrafficConfig &config) {
+        applyLimits(config);
+    });
+}
+
+bool ProxyRole::open()
+{
+    if (!m_listener.open(parseSocketAddress(m_core.settings().httpListen))
+        || !m_readyListener.open(parseSocketAddress(m_platform.readyListen))) {
+        m_log.write("daemon", "cannot listen", {{"front", m_core.settings().httpListen}, {"ready", m_platform.readyListen}});
+        return false;
+    }
+    m_operators.start();
+    m_endpoints.start();
+    m_log.write("daemon", "started", {{"front", m_core.settings().httpListen}, {"zone", m_core.settings().zone}});
+    return true;
+}
+
+void ProxyRole::applyLimits(const TrafficConfig &config)
+{
+    HttpListener::Limits limits;
+    limits.read.maxHeaderBytes = config.limits.maxHeaderBytes;
+    limits.read.maxBodyBytes = config.limits.maxBodyBytes;
+    limits.headerTimeout = config.limits.headerTimeout;
+    limits.idleTimeout = config.limits.idleTimeout;
+    m_listener.setLimits(limits);
+}
+
+void ProxyRole::startCall(HttpListener::ExchangeId id, HttpIncoming request)
+{
+    std::unique_ptr<ProxyCall> call
+        = std::make_unique<ProxyCall>(m_services, id, std::move(request), [this](HttpListener::ExchangeId ended) {
+              endCall(ended);
+          });
+    ProxyCall &started = *call;
+    m_calls[id] = std::move(call);
+    started.start();
+}
+
+void ProxyRole::endCall(HttpListener::ExchangeId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    // The call is the caller of this function; it goes with the next round.
+    const std::shared_ptr<ProxyCall> call(std::move(found->second));
+    m_calls.erase(found);
+    m_core.timers().subscribeOnce(Duration::zero(), [call](TimePoint) {});
+}
+
+bool ProxyRole::isReady() const
+{
+    const TimePoint confirmedAt = m_operators.confirmedAt();
+    return !m_isStopping && m_operators.config() != nullptr && m_endpoints.isKnown() && confirmedAt != timeNever
+        && Loop::now() - confirmedAt < readyProofAge;
+}
+
+void ProxyRole::answerReadiness(HttpListener::ExchangeId id, const HttpIncoming &request)
+{
+    const bool isQuestion = platform::isReadinessQuestion(request.head.target);
+    const int status = !isQuestion ? 404 : (isReady() ? 200 : 503);
+    m_readyListener.respond(id, platform::ownAnswerHead(status, std::string(), std::nullopt), std::string());
+}
+
+void ProxyRole::beginStop()
+{
+    m_isStopping = true;
+    m_stopAt = Loop::now();
+    m_listener.beginStop();
+    m_log.write("daemon", "stopping", {{"requests", std::to_string(m_calls.size())}});
+}
+
+bool ProxyRole::isIdle() const
+{
+    const Duration stopping = Loop::now() - m_stopAt;
+    if (stopping > m_platform.stopGrace - leaveMargin) {
+        return true;
+    }
+    return stopping > acceptAfterStop && m_calls.empty();
+}
+
+}
--- /dev/null
+++ b/main/proxy/proxyrole.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "main/daemoncore.h"
+#include "main/peerlinks.h"
+#include "main/proxy/enginelinks.h"
+#include "main/proxy/proxycall.h"
+#include "main/proxy/proxyservices.h"
+#include "main/role.h"
+
+#include <map>
+#include <memory>
+
+namespace citronspar
+{
+
+/** An entry daemon on the users' platform: it passes callers' requests on to the endpoints itself. */
+class ProxyRole : public Role
+{
+private:
+    DaemonCore &m_core;
+    const PlatformSettings m_platform;
+    DecisionLog m_log;
+    HttpPool m_pool;
+    HttpListener m_listener;
+    HttpListener m_readyListener;
+    platform::StoreClient m_store;
+    OperatorFeed m_operators;
+    EndpointFeed m_endpoints;
+    EndpointPlacement m_engines;
+    EndpointPlacement m_plain;
+    RetryBudget m_retries;
+    KeyFreshness m_freshness;
+    EngineLinks m_engineLinks;
+    ProxyServices m_services;
+    std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
+    bool m_isStopping = false;
+    TimePoint m_stopAt{};
+
+    void startCall(HttpListener::ExchangeId id, HttpIncoming request);
+    void endCall(HttpListener::ExchangeId id);
+    void answerReadiness(HttpListener::ExchangeId id, const HttpIncoming &request);
+    bool isReady() const;
+    void applyLimits(const TrafficConfig &config);
+
+public:
+    ProxyRole(DaemonCore &core, PeerLinks &links, const PlatformSettings &settings);
+
+    bool open() override;
+    void beginStop() override;
+    bool isIdle() const override;
+};
+
+}
--- /dev/null
+++ b/main/proxy/proxyservices.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "drivers/decisionlog.h"
+#include "drivers/httplistener.h"
+#include "drivers/httppool.h"
+#include "main/feeds/endpointfeed.h"
+#include "main/feeds/operatorfeed.h"
+#include "servers/endpointplacement.h"
+#include "servers/keyfreshness.h"
+#include "servers/retrybudget.h"
+
+namespace citronspar
+{
+
+class Metrics;
+
+/** What the requests of an entry daemon share. */
+struct ProxyServices
+{
+    Loop &loop;
+    HttpListener &listener;
+    HttpPool &pool;
+    OperatorFeed &operators;
+    EndpointFeed &endpoints;
+    EndpointPlacement &engines;
+    EndpointPlacement &plain;
+    RetryBudget &retries;
+    KeyFreshness &freshness;
+    DecisionLog &log;
+    Metrics &metrics;
+    Duration weightsDeadline;
+};
+
+}
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -39,7 +39,26 @@
     "service": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
     "endpoint": {"type": "string", "minLength": 1},
     "maxRunning": {"type": "integer", "minimum": 1},
-    "prefillTokensPerSecond": {"type": "number", "minimum": 1}
+    "prefillTokensPerSecond": {"type": "number", "minimum": 1},
+    "platform": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["peerPort"],
+      "properties": {
+        "readyListen": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$"},
+        "metricsListen": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+        "peerPort": {"type": "integer", "minimum": 1, "maximum": 65535},
+        "keyRevocationMs": {"type": "number", "minimum": 1000},
+        "stopGraceS": {"type": "number", "minimum": 1},
+        "weightsDeadlineMs": {"type": "number", "minimum": 1000},
+        "returnGraceS": {"type": "number", "minimum": 0},
+        "retryShare": {"type": "number", "minimum": 0},
+        "retrySlack": {"type": "number", "minimum": 0},
+        "quotaOvershoot": {"type": "number", "minimum": 0},
+        "quotaSlack": {"type": "number", "minimum": 0},
+        "quotaWindowS": {"type": "number", "minimum": 1}
+      }
+    }
   }
 })";
 
@@ -49,6 +68,28 @@
 constexpr std::size_t defaultMaxRunning = 64;
 constexpr double defaultPrefillTokensPerSecond = 20000;
 
+constexpr double millisecondsPerSecond = 1000;
+
+PlatformSettings platformFromJson(const json &object)
+{
+    PlatformSettings settings;
+    settings.readyListen = object.value("readyListen", std::string());
+    settings.metricsListen = object.value("metricsListen", std::string());
+    settings.peerPort = object.at("peerPort").get<int>();
+    settings.keyRevocation
+        = fromSeconds(object.value("keyRevocationMs", toSeconds(settings.keyRevocation) * millisecondsPerSecond) / millisecondsPerSecond);
+    settings.stopGrace = fromSeconds(object.value("stopGraceS", toSeconds(settings.stopGrace)));
+    settings.weightsDeadline = fromSeconds(object.value("weightsDeadlineMs", toSeconds(settings.weightsDeadline) * millisecondsPerSecond)
+                                           / millisecondsPerSecond);
+    settings.returnGrace = fromSeconds(object.value("returnGraceS", toSeconds(settings.returnGrace)));
+    settings.retryShare = object.value("retryShare", settings.retryShare);
+    settings.retrySlack = object.value("retrySlack", settings.retrySlack);
+    settings.quotaOvershoot = object.value("quotaOvershoot", settings.quotaOvershoot);
+    settings.quotaSlack = object.value("quotaSlack", settings.quotaSlack);
+    settings.quotaWindow = fromSeconds(object.value("quotaWindowS", toSeconds(settings.quotaWindow)));
+    return settings;
+}
+
 Settings fromJson(const json &document)
 {
     Settings settings;
@@ -72,6 +113,9 @@
     settings.endpoint = document.value("endpoint", std::string());
     settings.maxRunning = document.value("maxRunning", defaultMaxRunning);
     settings.prefillTokensPerSecond = document.value("prefillTokensPerSecond", defaultPrefillTokensPerSecond);
+    if (document.contains("platform")) {
+        settings.platform = platformFromJson(document.at("platform"));
+    }
     return settings;
 }
 
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -2994,6 +2994,838 @@
 }
 
 
+EngineState::~EngineState() noexcept {
+}
+
+
+void EngineState::__set_startedMs(const int64_t val) {
+  this->startedMs = val;
+}
+
+void EngineState::__set_isAnswering(const bool val) {
+  this->isAnswering = val;
+}
+
+void EngineState::__set_weightsVersion(const int64_t val) {
+  this->weightsVersion = val;
+}
+
+void EngineState::__set_isLoading(const bool val) {
+  this->isLoading = val;
+}
+
+void EngineState::__set_running(const int64_t val) {
+  this->running = val;
+}
+
+void EngineState::__set_waiting(const int64_t val) {
+  this->waiting = val;
+}
+
+void EngineState::__set_usedTokens(const int64_t val) {
+  this->usedTokens = val;
+}
+
+void EngineState::__set_totalTokens(const int64_t val) {
+  this->totalTokens = val;
+}
+
+void EngineState::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedMs);
+          this->__isset.startedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isAnswering);
+          this->__isset.isAnswering = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->weightsVersion);
+          this->__isset.weightsVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLoading);
+          this->__isset.isLoading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usedTokens);
+          this->__isset.usedTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->totalTokens);
+          this->__isset.totalTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineState");
+
+  xfer += oprot->writeFieldBegin("startedMs", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->startedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isAnswering", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isAnswering);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weightsVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->weightsVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLoading", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isLoading);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usedTokens", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->usedTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("totalTokens", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->totalTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineState &a, EngineState &b) {
+  using ::std::swap;
+  swap(a.startedMs, b.startedMs);
+  swap(a.isAnswering, b.isAnswering);
+  swap(a.weightsVersion, b.weightsVersion);
+  swap(a.isLoading, b.isLoading);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.usedTokens, b.usedTokens);
+  swap(a.totalTokens, b.totalTokens);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+EngineState::EngineState(const EngineState& other58) {
+  startedMs = other58.startedMs;
+  isAnswering = other58.isAnswering;
+  weightsVersion = other58.weightsVersion;
+  isLoading = other58.isLoading;
+  running = other58.running;
+  waiting = other58.waiting;
+  usedTokens = other58.usedTokens;
+  totalTokens = other58.totalTokens;
+  address = other58.address;
+  __isset = other58.__isset;
+}
+EngineState& EngineState::operator=(const EngineState& other59) {
+  startedMs = other59.startedMs;
+  isAnswering = other59.isAnswering;
+  weightsVersion = other59.weightsVersion;
+  isLoading = other59.isLoading;
+  running = other59.running;
+  waiting = other59.waiting;
+  usedTokens = other59.usedTokens;
+  totalTokens = other59.totalTokens;
+  address = other59.address;
+  __isset = other59.__isset;
+  return *this;
+}
+void EngineState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineState(";
+  out << "startedMs=" << to_string(startedMs);
+  out << ", " << "isAnswering=" << to_string(isAnswering);
+  out << ", " << "weightsVersion=" << to_string(weightsVersion);
+  out << ", " << "isLoading=" << to_string(isLoading);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "usedTokens=" << to_string(usedTokens);
+  out << ", " << "totalTokens=" << to_string(totalTokens);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+AccountDemand::~AccountDemand() noexcept {
+}
+
+
+void AccountDemand::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void AccountDemand::__set_perSecond(const double val) {
+  this->perSecond = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          this->__isset.perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountDemand");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->perSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountDemand &a, AccountDemand &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.perSecond, b.perSecond);
+  swap(a.__isset, b.__isset);
+}
+
+AccountDemand::AccountDemand(const AccountDemand& other60) {
+  account = other60.account;
+  perSecond = other60.perSecond;
+  __isset = other60.__isset;
+}
+AccountDemand& AccountDemand::operator=(const AccountDemand& other61) {
+  account = other61.account;
+  perSecond = other61.perSecond;
+  __isset = other61.__isset;
+  return *this;
+}
+void AccountDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountDemand(";
+  out << "account=" << to_string(account);
+  out << ", " << "perSecond=" << to_string(perSecond);
+  out << ")";
+}
+
+
+DemandReport::~DemandReport() noexcept {
+}
+
+
+void DemandReport::__set_demands(const std::vector<AccountDemand> & val) {
+  this->demands = val;
+}
+std::ostream& operator<<(std::ostream& out, const DemandReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DemandReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->demands.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += this->demands[_i66].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DemandReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DemandReport");
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<AccountDemand> ::const_iterator _iter67;
+    for (_iter67 = this->demands.begin(); _iter67 != this->demands.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DemandReport &a, DemandReport &b) {
+  using ::std::swap;
+  swap(a.demands, b.demands);
+  swap(a.__isset, b.__isset);
+}
+
+DemandReport::DemandReport(const DemandReport& other68) {
+  demands = other68.demands;
+  __isset = other68.__isset;
+}
+DemandReport& DemandReport::operator=(const DemandReport& other69) {
+  demands = other69.demands;
+  __isset = other69.__isset;
+  return *this;
+}
+void DemandReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DemandReport(";
+  out << "demands=" << to_string(demands);
+  out << ")";
+}
+
+
+AccountShare::~AccountShare() noexcept {
+}
+
+
+void AccountShare::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void AccountShare::__set_share(const double val) {
+  this->share = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountShare");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountShare &a, AccountShare &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.share, b.share);
+  swap(a.__isset, b.__isset);
+}
+
+AccountShare::AccountShare(const AccountShare& other70) {
+  account = other70.account;
+  share = other70.share;
+  __isset = other70.__isset;
+}
+AccountShare& AccountShare::operator=(const AccountShare& other71) {
+  account = other71.account;
+  share = other71.share;
+  __isset = other71.__isset;
+  return *this;
+}
+void AccountShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountShare(";
+  out << "account=" << to_string(account);
+  out << ", " << "share=" << to_string(share);
+  out << ")";
+}
+
+
+ShareGrant::~ShareGrant() noexcept {
+}
+
+
+void ShareGrant::__set_shares(const std::vector<AccountShare> & val) {
+  this->shares = val;
+}
+
+void ShareGrant::__set_entryDaemons(const int32_t val) {
+  this->entryDaemons = val;
+}
+std::ostream& operator<<(std::ostream& out, const ShareGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ShareGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->shares.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += this->shares[_i76].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entryDaemons);
+          this->__isset.entryDaemons = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ShareGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ShareGrant");
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<AccountShare> ::const_iterator _iter77;
+    for (_iter77 = this->shares.begin(); _iter77 != this->shares.end(); ++_iter77)
+    {
+      xfer += (*_iter77).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entryDaemons", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->entryDaemons);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ShareGrant &a, ShareGrant &b) {
+  using ::std::swap;
+  swap(a.shares, b.shares);
+  swap(a.entryDaemons, b.entryDaemons);
+  swap(a.__isset, b.__isset);
+}
+
+ShareGrant::ShareGrant(const ShareGrant& other78) {
+  shares = other78.shares;
+  entryDaemons = other78.entryDaemons;
+  __isset = other78.__isset;
+}
+ShareGrant& ShareGrant::operator=(const ShareGrant& other79) {
+  shares = other79.shares;
+  entryDaemons = other79.entryDaemons;
+  __isset = other79.__isset;
+  return *this;
+}
+void ShareGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ShareGrant(";
+  out << "shares=" << to_string(shares);
+  out << ", " << "entryDaemons=" << to_string(entryDaemons);
+  out << ")";
+}
+
+
+CrashSuspect::~CrashSuspect() noexcept {
+}
+
+
+void CrashSuspect::__set_requestDigest(const int64_t val) {
+  this->requestDigest = val;
+}
+
+void CrashSuspect::__set_crash(const int64_t val) {
+  this->crash = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashSuspect::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestDigest);
+          this->__isset.requestDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->crash);
+          this->__isset.crash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashSuspect::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashSuspect");
+
+  xfer += oprot->writeFieldBegin("requestDigest", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->crash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashSuspect &a, CrashSuspect &b) {
+  using ::std::swap;
+  swap(a.requestDigest, b.requestDigest);
+  swap(a.crash, b.crash);
+  swap(a.__isset, b.__isset);
+}
+
+CrashSuspect::CrashSuspect(const CrashSuspect& other80) noexcept {
+  requestDigest = other80.requestDigest;
+  crash = other80.crash;
+  __isset = other80.__isset;
+}
+CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other81) noexcept {
+  requestDigest = other81.requestDigest;
+  crash = other81.crash;
+  __isset = other81.__isset;
+  return *this;
+}
+void CrashSuspect::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashSuspect(";
+  out << "requestDigest=" << to_string(requestDigest);
+  out << ", " << "crash=" << to_string(crash);
+  out << ")";
+}
+
+
 Body::~Body() noexcept {
 }
 
@@ -3087,6 +3919,26 @@
   this->timelineAnswer = val;
 __isset.timelineAnswer = true;
 }
+
+void Body::__set_engineState(const EngineState& val) {
+  this->engineState = val;
+__isset.engineState = true;
+}
+
+void Body::__set_demandReport(const DemandReport& val) {
+  this->demandReport = val;
+__isset.demandReport = true;
+}
+
+void Body::__set_shareGrant(const ShareGrant& val) {
+  this->shareGrant = val;
+__isset.shareGrant = true;
+}
+
+void Body::__set_crashSuspect(const CrashSuspect& val) {
+  this->crashSuspect = val;
+__isset.crashSuspect = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -3259,6 +4111,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->engineState.read(iprot);
+          this->__isset.engineState = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->demandReport.read(iprot);
+          this->__isset.demandReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shareGrant.read(iprot);
+          this->__isset.shareGrant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crashSuspect.read(iprot);
+          this->__isset.crashSuspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3366,6 +4250,26 @@
     xfer += this->timelineAnswer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.engineState) {
+    xfer += oprot->writeFieldBegin("engineState", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->engineState.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.demandReport) {
+    xfer += oprot->writeFieldBegin("demandReport", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->demandReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.shareGrant) {
+    xfer += oprot->writeFieldBegin("shareGrant", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->shareGrant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crashSuspect) {
+    xfer += oprot->writeFieldBegin("crashSuspect", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->crashSuspect.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3391,50 +4295,62 @@
   swap(a.suspectReport, b.suspectReport);
   swap(a.timelineQuestion, b.timelineQuestion);
   swap(a.timelineAnswer, b.timelineAnswer);
+  swap(a.engineState, b.engineState);
+  swap(a.demandReport, b.demandReport);
+  swap(a.shareGrant, b.shareGrant);
+  swap(a.crashSuspect, b.crashSuspect);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other58) {
-  probe = other58.probe;
-  probeAnswer = other58.probeAnswer;
-  dispatch = other58.dispatch;
-  dispatchRefused = other58.dispatchRefused;
-  streamDelta = other58.streamDelta;
-  streamEnd = other58.streamEnd;
-  cancel = other58.cancel;
-  credit = other58.credit;
-  freshnessQuestion = other58.freshnessQuestion;
-  freshnessAnswer = other58.freshnessAnswer;
-  configFetch = other58.configFetch;
-  configPush = other58.configPush;
-  reserve = other58.reserve;
-  reserveAnswer = other58.reserveAnswer;
-  giveBack = other58.giveBack;
-  suspectReport = other58.suspectReport;
-  timelineQuestion = other58.timelineQuestion;
-  timelineAnswer = other58.timelineAnswer;
-  __isset = other58.__isset;
-}
-Body& Body::operator=(const Body& other59) {
-  probe = other59.probe;
-  probeAnswer = other59.probeAnswer;
-  dispatch = other59.dispatch;
-  dispatchRefused = other59.dispatchRefused;
-  streamDelta = other59.streamDelta;
-  streamEnd = other59.streamEnd;
-  cancel = other59.cancel;
-  credit = other59.credit;
-  freshnessQuestion = other59.freshnessQuestion;
-  freshnessAnswer = other59.freshnessAnswer;
-  configFetch = other59.configFetch;
-  configPush = other59.configPush;
-  reserve = other59.reserve;
-  reserveAnswer = other59.reserveAnswer;
-  giveBack = other59.giveBack;
-  suspectReport = other59.suspectReport;
-  timelineQuestion = other59.timelineQuestion;
-  timelineAnswer = other59.timelineAnswer;
-  __isset = other59.__isset;
+Body::Body(const Body& other82) {
+  probe = other82.probe;
+  probeAnswer = other82.probeAnswer;
+  dispatch = other82.dispatch;
+  dispatchRefused = other82.dispatchRefused;
+  streamDelta = other82.streamDelta;
+  streamEnd = other82.streamEnd;
+  cancel = other82.cancel;
+  credit = other82.credit;
+  freshnessQuestion = other82.freshnessQuestion;
+  freshnessAnswer = other82.freshnessAnswer;
+  configFetch = other82.configFetch;
+  configPush = other82.configPush;
+  reserve = other82.reserve;
+  reserveAnswer = other82.reserveAnswer;
+  giveBack = other82.giveBack;
+  suspectReport = other82.suspectReport;
+  timelineQuestion = other82.timelineQuestion;
+  timelineAnswer = other82.timelineAnswer;
+  engineState = other82.engineState;
+  demandReport = other82.demandReport;
+  shareGrant = other82.shareGrant;
+  crashSuspect = other82.crashSuspect;
+  __isset = other82.__isset;
+}
+Body& Body::operator=(const Body& other83) {
+  probe = other83.probe;
+  probeAnswer = other83.probeAnswer;
+  dispatch = other83.dispatch;
+  dispatchRefused = other83.dispatchRefused;
+  streamDelta = other83.streamDelta;
+  streamEnd = other83.streamEnd;
+  cancel = other83.cancel;
+  credit = other83.credit;
+  freshnessQuestion = other83.freshnessQuestion;
+  freshnessAnswer = other83.freshnessAnswer;
+  configFetch = other83.configFetch;
+  configPush = other83.configPush;
+  reserve = other83.reserve;
+  reserveAnswer = other83.reserveAnswer;
+  giveBack = other83.giveBack;
+  suspectReport = other83.suspectReport;
+  timelineQuestion = other83.timelineQuestion;
+  timelineAnswer = other83.timelineAnswer;
+  engineState = other83.engineState;
+  demandReport = other83.demandReport;
+  shareGrant = other83.shareGrant;
+  crashSuspect = other83.crashSuspect;
+  __isset = other83.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3458,6 +4374,10 @@
   out << ", " << "suspectReport="; (__isset.suspectReport ? (out << to_string(suspectReport)) : (out << "<null>"));
   out << ", " << "timelineQuestion="; (__isset.timelineQuestion ? (out << to_string(timelineQuestion)) : (out << "<null>"));
   out << ", " << "timelineAnswer="; (__isset.timelineAnswer ? (out << to_string(timelineAnswer)) : (out << "<null>"));
+  out << ", " << "engineState="; (__isset.engineState ? (out << to_string(engineState)) : (out << "<null>"));
+  out << ", " << "demandReport="; (__isset.demandReport ? (out << to_string(demandReport)) : (out << "<null>"));
+  out << ", " << "shareGrant="; (__isset.shareGrant ? (out << to_string(shareGrant)) : (out << "<null>"));
+  out << ", " << "crashSuspect="; (__isset.crashSuspect ? (out << to_string(crashSuspect)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3605,21 +4525,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other60) {
-  sender = other60.sender;
-  incarnation = other60.incarnation;
-  wallMicroseconds = other60.wallMicroseconds;
-  wallCounter = other60.wallCounter;
-  body = other60.body;
-  __isset = other60.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other61) {
-  sender = other61.sender;
-  incarnation = other61.incarnation;
-  wallMicroseconds = other61.wallMicroseconds;
-  wallCounter = other61.wallCounter;
-  body = other61.body;
-  __isset = other61.__isset;
+Envelope::Envelope(const Envelope& other84) {
+  sender = other84.sender;
+  incarnation = other84.incarnation;
+  wallMicroseconds = other84.wallMicroseconds;
+  wallCounter = other84.wallCounter;
+  body = other84.body;
+  __isset = other84.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other85) {
+  sender = other85.sender;
+  incarnation = other85.incarnation;
+  wallMicroseconds = other85.wallMicroseconds;
+  wallCounter = other85.wallCounter;
+  body = other85.body;
+  __isset = other85.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -61,6 +61,18 @@
 
 class TimelineAnswer;
 
+class EngineState;
+
+class AccountDemand;
+
+class DemandReport;
+
+class AccountShare;
+
+class ShareGrant;
+
+class CrashSuspect;
+
 class Body;
 
 class Envelope;
@@ -1321,8 +1333,378 @@
 
 std::ostream& operator<<(std::ostream& out, const TimelineAnswer& obj);
 
+typedef struct _EngineState__isset {
+  _EngineState__isset() : startedMs(false), isAnswering(false), weightsVersion(false), isLoading(false), running(false), waiting(false), usedTokens(false), totalTokens(false), address(false) {}
+  bool startedMs :1;
+  bool isAnswering :1;
+  bool weightsVersion :1;
+  bool isLoading :1;
+  bool running :1;
+  bool waiting :1;
+  bool usedTokens :1;
+  bool totalTokens :1;
+  bool address :1;
+} _EngineState__isset;
+
+/**
+ * What an endpoint daemon knows of the engine beside it.
+ */
+class EngineState : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineState(const EngineState&);
+  EngineState& operator=(const EngineState&);
+  EngineState() noexcept
+              : startedMs(0),
+                isAnswering(0),
+                weightsVersion(0),
+                isLoading(0),
+                running(0),
+                waiting(0),
+                usedTokens(0),
+                totalTokens(0),
+                address() {
+  }
+
+  virtual ~EngineState() noexcept;
+  /**
+   * When the engine started, in milliseconds since the epoch; tells its incarnations apart.
+   */
+  int64_t startedMs;
+  bool isAnswering;
+  int64_t weightsVersion;
+  /**
+   * New weights are being loaded, or will be within moments.
+   */
+  bool isLoading;
+  int64_t running;
+  int64_t waiting;
+  int64_t usedTokens;
+  int64_t totalTokens;
+  /**
+   * The "address:port" at which the engine takes requests.
+   */
+  std::string address;
+
+  _EngineState__isset __isset;
+
+  void __set_startedMs(const int64_t val);
+
+  void __set_isAnswering(const bool val);
+
+  void __set_weightsVersion(const int64_t val);
+
+  void __set_isLoading(const bool val);
+
+  void __set_running(const int64_t val);
+
+  void __set_waiting(const int64_t val);
+
+  void __set_usedTokens(const int64_t val);
+
+  void __set_totalTokens(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const EngineState & rhs) const
+  {
+    if (!(startedMs == rhs.startedMs))
+      return false;
+    if (!(isAnswering == rhs.isAnswering))
+      return false;
+    if (!(weightsVersion == rhs.weightsVersion))
+      return false;
+    if (!(isLoading == rhs.isLoading))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(usedTokens == rhs.usedTokens))
+      return false;
+    if (!(totalTokens == rhs.totalTokens))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineState &a, EngineState &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineState& obj);
+
+typedef struct _AccountDemand__isset {
+  _AccountDemand__isset() : account(false), perSecond(false) {}
+  bool account :1;
+  bool perSecond :1;
+} _AccountDemand__isset;
+
+class AccountDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountDemand(const AccountDemand&);
+  AccountDemand& operator=(const AccountDemand&);
+  AccountDemand() noexcept
+                : account(),
+                  perSecond(0) {
+  }
+
+  virtual ~AccountDemand() noexcept;
+  std::string account;
+  /**
+   * What the account asked of this entry daemon lately, in units of its rate a second.
+   */
+  double perSecond;
+
+  _AccountDemand__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_perSecond(const double val);
+
+  bool operator == (const AccountDemand & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(perSecond == rhs.perSecond))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountDemand &a, AccountDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountDemand& obj);
+
+typedef struct _DemandReport__isset {
+  _DemandReport__isset() : demands(false) {}
+  bool demands :1;
+} _DemandReport__isset;
+
+/**
+ * Sent regularly by each entry daemon to the holder of an account's rate.
+ */
+class DemandReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  DemandReport(const DemandReport&);
+  DemandReport& operator=(const DemandReport&);
+  DemandReport() noexcept {
+  }
+
+  virtual ~DemandReport() noexcept;
+  std::vector<AccountDemand>  demands;
+
+  _DemandReport__isset __isset;
+
+  void __set_demands(const std::vector<AccountDemand> & val);
+
+  bool operator == (const DemandReport & rhs) const
+  {
+    if (!(demands == rhs.demands))
+      return false;
+    return true;
+  }
+  bool operator != (const DemandReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DemandReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DemandReport &a, DemandReport &b);
+
+std::ostream& operator<<(std::ostream& out, const DemandReport& obj);
+
+typedef struct _AccountShare__isset {
+  _AccountShare__isset() : account(false), share(false) {}
+  bool account :1;
+  bool share :1;
+} _AccountShare__isset;
+
+class AccountShare : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountShare(const AccountShare&);
+  AccountShare& operator=(const AccountShare&);
+  AccountShare() noexcept
+               : account(),
+                 share(0) {
+  }
+
+  virtual ~AccountShare() noexcept;
+  std::string account;
+  /**
+   * The share of the account's rate, 0 to 1.
+   */
+  double share;
+
+  _AccountShare__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_share(const double val);
+
+  bool operator == (const AccountShare & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(share == rhs.share))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountShare &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountShare & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountShare &a, AccountShare &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountShare& obj);
+
+typedef struct _ShareGrant__isset {
+  _ShareGrant__isset() : shares(false), entryDaemons(false) {}
+  bool shares :1;
+  bool entryDaemons :1;
+} _ShareGrant__isset;
+
+/**
+ * The shares of one entry daemon, until the next report is answered or the lease runs out.
+ */
+class ShareGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  ShareGrant(const ShareGrant&);
+  ShareGrant& operator=(const ShareGrant&);
+  ShareGrant() noexcept
+             : entryDaemons(0) {
+  }
+
+  virtual ~ShareGrant() noexcept;
+  std::vector<AccountShare>  shares;
+  /**
+   * The entry daemons that the holder heard of lately.
+   */
+  int32_t entryDaemons;
+
+  _ShareGrant__isset __isset;
+
+  void __set_shares(const std::vector<AccountShare> & val);
+
+  void __set_entryDaemons(const int32_t val);
+
+  bool operator == (const ShareGrant & rhs) const
+  {
+    if (!(shares == rhs.shares))
+      return false;
+    if (!(entryDaemons == rhs.entryDaemons))
+      return false;
+    return true;
+  }
+  bool operator != (const ShareGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ShareGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ShareGrant &a, ShareGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const ShareGrant& obj);
+
+typedef struct _CrashSuspect__isset {
+  _CrashSuspect__isset() : requestDigest(false), crash(false) {}
+  bool requestDigest :1;
+  bool crash :1;
+} _CrashSuspect__isset;
+
+/**
+ * Requests that were running when an engine crashed, told to all entry daemons.
+ */
+class CrashSuspect : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashSuspect(const CrashSuspect&) noexcept;
+  CrashSuspect& operator=(const CrashSuspect&) noexcept;
+  CrashSuspect() noexcept
+               : requestDigest(0),
+                 crash(0) {
+  }
+
+  virtual ~CrashSuspect() noexcept;
+  int64_t requestDigest;
+  int64_t crash;
+
+  _CrashSuspect__isset __isset;
+
+  void __set_requestDigest(const int64_t val);
+
+  void __set_crash(const int64_t val);
+
+  bool operator == (const CrashSuspect & rhs) const
+  {
+    if (!(requestDigest == rhs.requestDigest))
+      return false;
+    if (!(crash == rhs.crash))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashSuspect &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashSuspect & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashSuspect &a, CrashSuspect &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
+
 typedef struct _Body__isset {
-  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false) {}
+  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), demandReport(false), shareGrant(false), crashSuspect(false) {}
   bool probe :1;
   bool probeAnswer :1;
   bool dispatch :1;
@@ -1341,6 +1723,10 @@
   bool suspectReport :1;
   bool timelineQuestion :1;
   bool timelineAnswer :1;
+  bool engineState :1;
+  bool demandReport :1;
+  bool shareGrant :1;
+  bool crashSuspect :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -1370,6 +1756,10 @@
   SuspectReport suspectReport;
   TimelineQuestion timelineQuestion;
   TimelineAnswer timelineAnswer;
+  EngineState engineState;
+  DemandReport demandReport;
+  ShareGrant shareGrant;
+  CrashSuspect crashSuspect;
 
   _Body__isset __isset;
 
@@ -1409,6 +1799,14 @@
 
   void __set_timelineAnswer(const TimelineAnswer& val);
 
+  void __set_engineState(const EngineState& val);
+
+  void __set_demandReport(const DemandReport& val);
+
+  void __set_shareGrant(const ShareGrant& val);
+
+  void __set_crashSuspect(const CrashSuspect& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.probe != rhs.__isset.probe)
@@ -1483,6 +1881,22 @@
       return false;
     else if (__isset.timelineAnswer && !(timelineAnswer == rhs.timelineAnswer))
       return false;
+    if (__isset.engineState != rhs.__isset.engineState)
+      return false;
+    else if (__isset.engineState && !(engineState == rhs.engineState))
+      return false;
+    if (__isset.demandReport != rhs.__isset.demandReport)
+      return false;
+    else if (__isset.demandReport && !(demandReport == rhs.demandReport))
+      return false;
+    if (__isset.shareGrant != rhs.__isset.shareGrant)
+      return false;
+    else if (__isset.shareGrant && !(shareGrant == rhs.shareGrant))
+      return false;
+    if (__isset.crashSuspect != rhs.__isset.crashSuspect)
+      return false;
+    else if (__isset.crashSuspect && !(crashSuspect == rhs.crashSuspect))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -143,6 +143,52 @@
   2: list<TimelineEvent> events
 }
 
+/** What an endpoint daemon knows of the engine beside it. */
+struct EngineState {
+  /** When the engine started, in milliseconds since the epoch; tells its incarnations apart. */
+  1: i64 startedMs
+  2: bool isAnswering
+  3: i64 weightsVersion
+  /** New weights are being loaded, or will be within moments. */
+  4: bool isLoading
+  5: i64 running
+  6: i64 waiting
+  7: i64 usedTokens
+  8: i64 totalTokens
+  /** The "address:port" at which the engine takes requests. */
+  9: string address
+}
+
+struct AccountDemand {
+  1: string account
+  /** What the account asked of this entry daemon lately, in units of its rate a second. */
+  2: double perSecond
+}
+
+/** Sent regularly by each entry daemon to the holder of an account's rate. */
+struct DemandReport {
+  1: list<AccountDemand> demands
+}
+
+struct AccountShare {
+  1: string account
+  /** The share of the account's rate, 0 to 1. */
+  2: double share
+}
+
+/** The shares of one entry daemon, until the next report is answered or the lease runs out. */
+struct ShareGrant {
+  1: list<AccountShare> shares
+  /** The entry daemons that the holder heard of lately. */
+  2: i32 entryDaemons
+}
+
+/** Requests that were running when an engine crashed, told to all entry daemons. */
+struct CrashSuspect {
+  1: i64 requestDigest
+  2: i64 crash
+}
+
 union Body {
   1: Probe probe
   2: ProbeAnswer probeAnswer
@@ -162,6 +208,10 @@
   16: SuspectReport suspectReport
   17: TimelineQuestion timelineQuestion
   18: TimelineAnswer timelineAnswer
+  19: EngineState engineState
+  20: DemandReport demandReport
+  21: ShareGrant shareGrant
+  22: CrashSuspect crashSuspect
 }
 
 /** One frame between two daemons. */
--- /dev/null
+++ b/servers/endpointdirectory.cpp
@@ -0,0 +1,98 @@
+#include "servers/endpointdirectory.h"
+
+#include <set>
+#include <utility>
+
+namespace citronspar
+{
+
+EndpointDirectory::EndpointDirectory(Duration returnGrace)
+    : m_returnGrace(returnGrace)
+{
+}
+
+void EndpointDirectory::noteOutage(TimePoint now)
+{
+    m_lastOutage = now;
+    for (std::pair<const std::string, TimePoint> &removal : m_pendingRemovals) {
+        removal.second = now + m_returnGrace;
+    }
+}
+
+void EndpointDirectory::put(ListedEndpoint endpoint)
+{
+    m_pendingRemovals.erase(endpoint.id);
+    m_endpoints[endpoint.id] = std::move(endpoint);
+}
+
+void EndpointDirectory::remove(const std::string &id, TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    // One that had said that it leaves is gone, whatever the store did.
+    const bool mayReturn = m_lastOutage != timeNever && now < m_lastOutage + m_returnGrace && !found->second.isDraining;
+    if (mayReturn) {
+        m_pendingRemovals.emplace(id, m_lastOutage + m_returnGrace);
+        return;
+    }
+    m_endpoints.erase(found);
+}
+
+void EndpointDirectory::replaceAll(std::vector<ListedEndpoint> endpoints, TimePoint now)
+{
+    std::set<std::string> present;
+    for (ListedEndpoint &endpoint : endpoints) {
+        present.insert(endpoint.id);
+        put(std::move(endpoint));
+    }
+    std::vector<std::string> missing;
+    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
+        if (present.count(entry.first) == 0) {
+            missing.push_back(entry.first);
+        }
+    }
+    for (const std::string &id : missing) {
+        remove(id, now);
+    }
+}
+
+bool EndpointDirectory::applyDueRemovals(TimePoint now)
+{
+    bool isChanged = false;
+    for (auto it = m_pendingRemovals.begin(); it != m_pendingRemovals.end();) {
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        m_endpoints.erase(it->first);
+        it = m_pendingRemovals.erase(it);
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+const ListedEndpoint *EndpointDirectory::find(const std::string &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+std::vector<const ListedEndpoint *> EndpointDirectory::available(const std::string &service) const
+{
+    std::vector<const ListedEndpoint *> result;
+    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
+        if (entry.second.service == service && !entry.second.isDraining) {
+            result.push_back(&entry.second);
+        }
+    }
+    return result;
+}
+
+const std::map<std::string, ListedEndpoint> &EndpointDirectory::all() const
+{
+    return m_endpoints;
+}
+
+}
--- /dev/null
+++ b/servers/endpointplacement.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronspar
+{
+
+/** What an entry daemon knows of one engine. */
+struct EngineView
+{
+    std::int64_t weightsVersion = 0;
+    bool isLoading = false;
+    bool isAnswering = true;
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    /** When this was told; timeNever when nothing was. */
+    TimePoint toldAt = timeNever;
+};
+
+/** A prompt, as placement sees it. */
+struct PlacedPrompt
+{
+    /** Hash of all parts that other requests share; 0 when none are. */
+    std::uint64_t sharedHash = 0;
+    std::int64_t sharedTokens = 0;
+    std::int64_t ownTokens = 0;
+};
+
+/**
+ * Chooses the engine with the least predicted time to the first token: the
+ * prefill that waits there, plus what this prompt would have to read there.
+ * Each shared prefix has a home by rendezvous hashing, which all entry daemons
+ * know without telling each other, so a prefix is read once and found again.
+ */
+class EndpointPlacement
+{
+public:
+    struct Settings
+    {
+        /** Prompt tokens that an engine reads in a millisecond. */
+        double prefillTokensPerMs = 40;
+        /** Milliseconds that one running request adds to the others' first token. */
+        double runningCostMs = 1;
+        /** Milliseconds that one request of another daemon that waits adds. */
+        double waitingCostMs = 40;
+        /** Milliseconds that weights older than the named ones are worth avoiding. */
+        double oldWeightsCostMs = 100;
+        /** Milliseconds for each recent failure. */
+        double failureCostMs = 150;
+        /** A failure counts for this long. */
+        Duration failureMemory = std::chrono::seconds(3);
+        /** What an endpoint daemon told is used for this long. */
+        Duration viewLifetime = std::chrono::milliseconds(1500);
+    };
+
+    struct Candidate
+    {
+        std::string id;
+        std::int64_t listedVersion = 0;
+    };
+
+    /** The engine chosen, and the weights version that it has. */
+    struct Choice
+    {
+        std::string id;
+        std::int64_t weightsVersion = 0;
+        /** Whether it is the home of the shared prefix. */
+        bool isHome = false;
+    };
+
+private:
+    struct Engine
+    {
+        EngineView view;
+        int inFlight = 0;
+        /** Prompt tokens of own requests that have no first token yet. */
+        std::int64_t pendingTokens = 0;
+        int pendingRequests = 0;
+        int failures = 0;
+        TimePoint lastFailure = timeNever;
+        TimePoint avoidUntil = timeNever;
+    };
+
+    Settings m_settings;
+    std::map<std::string, Engine> m_engines;
+
+    bool isCurrent(const EngineView &view, TimePoint now) const;
+    double cost(const Engine &engine, const PlacedPrompt &prompt, bool isHome, bool hasOldWeights, TimePoint now) const;
+
+public:
+    explicit EndpointPlacement(Settings settings);
+
+    /** Takes in what the daemon beside an engine tells. */
+    void setView(const std::string &id, const EngineView &view);
+
+    /** The weights version of an engine by the newest word. */
+    std::int64_t versionOf(const Candidate &candidate, TimePoint now) const;
+
+    /**
+     * @param wantedVersion the weights that the operators named; 0 when none
+     * @param refusesOld whether engines with older weights may not be used any more
+     * @param excluded ids that this request was already sent to
+     * @return nothing when no engine can take the prompt
+     */
+    std::optional<Choice> choose(const PlacedPrompt &prompt, const std::vector<Candidate> &candidates, std::int64_t wantedVersion,
+                                 bool refusesOld, const std::vector<std::string> &excluded, TimePoint now) const;
+
+    void noteSent(const std::string &id, std::int64_t tokens);
+    void noteFirstToken(const std::string &id, std::int64_t tokens);
+    void noteEnd(const std::string &id);
+
+    /** The engine failed a request. */
+    void noteFailure(const std::string &id, TimePoint now);
+    void noteSuccess(const std::string &id);
+
+    /** The engine turned a request away; it is left alone for @p time. */
+    void avoid(const std::string &id, TimePoint now, Duration time);
+
+    int inFlight(const std::string &id) const;
+
+    /** Drops what is known of an engine that has left. */
+    void forget(const std::string &id);
+};
+
+}
--- /dev/null
+++ b/servers/eventcutter.cpp
@@ -0,0 +1,91 @@
+#include "servers/eventcutter.h"
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr std::string_view idField = "id:";
+
+/** The end of the first event in @p text, behind its empty line; npos when it is not whole. */
+std::size_t eventEnd(std::string_view text)
+{
+    std::size_t lineStart = 0;
+    while (true) {
+        const std::size_t newline = text.find('\n', lineStart);
+        if (newline == std::string_view::npos) {
+            return std::string_view::npos;
+        }
+        const std::string_view line = text.substr(lineStart, newline - lineStart);
+        if (line.empty() || line == "\r") {
+            return newline + 1;
+        }
+        lineStart = newline + 1;
+    }
+}
+
+}
+
+void EventCutter::noteEvent(std::string_view event)
+{
+    m_hasEvents = true;
+    std::size_t lineStart = 0;
+    while (lineStart < event.size()) {
+        std::size_t newline = event.find('\n', lineStart);
+        newline = newline == std::string_view::npos ? event.size() : newline;
+        std::string_view line = event.substr(lineStart, newline - lineStart);
+        lineStart = newline + 1;
+        if (line.substr(0, idField.size()) != idField) {
+            continue;
+        }
+        line.remove_prefix(idField.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        m_lastId = std::string(line);
+    }
+}
+
+std::string EventCutter::add(std::string_view bytes)
+{
+    m_partial.append(bytes);
+    std::size_t cut = 0;
+    while (true) {
+        const std::string_view rest = std::string_view(m_partial).substr(cut);
+        const std::size_t end = eventEnd(rest);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        noteEvent(rest.substr(0, end));
+        cut += end;
+    }
+    std::string whole = m_partial.substr(0, cut);
+    m_partial.erase(0, cut);
+    return whole;
+}
+
+void EventCutter::dropPartial()
+{
+    m_partial.clear();
+}
+
+const std::string &EventCutter::partial() const
+{
+    return m_partial;
+}
+
+const std::string &EventCutter::lastId() const
+{
+    return m_lastId;
+}
+
+bool EventCutter::hasEvents() const
+{
+    return m_hasEvents;
+}
+
+}
--- /dev/null
+++ b/servers/trafficconfig.cpp
@@ -0,0 +1,51 @@
+#include "servers/trafficconfig.h"
+
+namespace citronspar
+{
+
+const TrafficRoute *TrafficConfig::findRoute(const std::string &host, const std::string &path) const
+{
+    const TrafficRoute *best = nullptr;
+    for (const TrafficRoute &route : routes) {
+        const bool matches = route.host == host && path.compare(0, route.pathPrefix.size(), route.pathPrefix) == 0;
+        if (matches && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const TrafficAccount *TrafficConfig::findAccount(const std::string &key) const
+{
+    const auto found = keys.find(key);
+    return found == keys.end() ? nullptr : &accounts[found->second];
+}
+
+std::string TrafficConfig::kvStoreAddress() const
+{
+    for (const std::pair<const std::string, TrafficService> &entry : services) {
+        if (!entry.second.kvStoreAddress.empty()) {
+            return entry.second.kvStoreAddress;
+        }
+    }
+    return std::string();
+}
+
+const std::string &chooseService(const TrafficRoute &route, std::uint64_t requestHash)
+{
+    double total = 0;
+    for (const ServiceShare &share : route.split) {
+        total += share.weight;
+    }
+    // The upper 53 bits give an even fraction in [0, 1).
+    double point = static_cast<double>(requestHash >> 11U) / static_cast<double>(1ULL << 53U) * total;
+    for (const ServiceShare &share : route.split) {
+        if (point < share.weight) {
+            return share.service;
+        }
+        point -= share.weight;
+    }
+    return route.split.back().service;
+}
+
+}
--- /dev/null
+++ b/servers/weightsrollout.cpp
@@ -0,0 +1,111 @@
+#include "servers/weightsrollout.h"
+
+#include <algorithm>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr Duration pauseAfterRefusal = std::chrono::milliseconds(150);
+
+}
+
+WeightsRollout::WeightsRollout(Settings settings)
+    : m_settings(settings)
+{
+}
+
+void WeightsRollout::name(std::int64_t version, const std::vector<std::string> &ids, const std::string &own, TimePoint now)
+{
+    if (version <= m_wanted) {
+        return;
+    }
+    m_wanted = version;
+    if (m_present >= version) {
+        return;
+    }
+    std::vector<std::string> order = ids;
+    std::sort(order.begin(), order.end());
+    const std::size_t count = std::max<std::size_t>(order.size(), 1);
+    std::size_t rank = static_cast<std::size_t>(std::lower_bound(order.begin(), order.end(), own) - order.begin());
+    rank = std::min(rank, count - 1);
+    if (version % 2 != 0) {
+        // The order turns with each version: engines that were not reached before a newer version came are first then.
+        rank = count - 1 - rank;
+    }
+    const std::size_t groupSize = std::max<std::size_t>(1, count / static_cast<std::size_t>(m_settings.groups));
+    const std::int64_t group = static_cast<std::int64_t>(rank / groupSize);
+    m_orderAt = now + m_settings.announceLead + group * m_settings.groupInterval;
+}
+
+void WeightsRollout::report(std::int64_t version, bool isBusy, TimePoint now)
+{
+    m_present = std::max(m_present, version);
+    m_isBusy = isBusy;
+    if (m_present >= m_wanted) {
+        m_orderAt.reset();
+        m_orderedAt = timeNever;
+        return;
+    }
+    if (m_orderedAt != timeNever && m_present >= m_orderedVersion) {
+        m_orderedAt = timeNever;
+    }
+    if (!m_orderAt.has_value() && m_orderedAt == timeNever) {
+        m_orderAt = now + m_settings.announceLead;
+    }
+    if (m_orderedAt != timeNever && !isBusy && now - m_orderedAt > m_settings.orderPatience) {
+        m_orderedAt = timeNever;
+        m_orderAt = now;
+    }
+}
+
+void WeightsRollout::restart()
+{
+    m_present = 0;
+    m_isBusy = false;
+    m_orderedAt = timeNever;
+}
+
+WeightsRollout::Step WeightsRollout::step(TimePoint now) const
+{
+    if (m_present >= m_wanted || !m_orderAt.has_value() || m_isBusy) {
+        return Step::Nothing;
+    }
+    if (m_orderedAt != timeNever && m_orderedVersion == m_wanted) {
+        return Step::Nothing;
+    }
+    if (now >= *m_orderAt) {
+        return Step::Order;
+    }
+    return now + m_settings.announceLead >= *m_orderAt ? Step::Announce : Step::Nothing;
+}
+
+void WeightsRollout::noteOrdered(TimePoint now)
+{
+    m_orderedAt = now;
+    m_orderedVersion = m_wanted;
+    m_orderAt.reset();
+}
+
+void WeightsRollout::noteRefused(TimePoint now)
+{
+    m_orderedAt = timeNever;
+    m_orderAt = now + pauseAfterRefusal;
+}
+
+bool WeightsRollout::isLoading(TimePoint now) const
+{
+    if (m_isBusy || m_orderedAt != timeNever) {
+        return true;
+    }
+    return m_present < m_wanted && m_orderAt.has_value() && now + m_settings.announceLead >= *m_orderAt;
+}
+
+std::int64_t WeightsRollout::wantedVersion() const
+{
+    return m_wanted;
+}
+
+}
