Keep rates, drain on SIGTERM, load lagging engines first

QUOTA: nothing bounded an account over the entry daemons; each now has an even part of half the rate, and the daemon beside an engine divides the other half by demand under a lease (QuotaGate, QuotaShares). LOST: idle connections stayed open after SIGTERM and requests came on them until the process ended (ShutdownPlan). VERSION: after a restart an engine with old weights waited for its rank among all engines, and a pool of 11 loaded one at a time as the group size was rounded down; the rank now counts the engines with older weights.

Ruled out: one holder that grants tokens per request (its loss would refuse everybody), an even split alone (refuses as soon as load is uneven).

--- a/core/errorkind.cpp
+++ b/core/errorkind.cpp
@@ -12,7 +12,7 @@
 constexpr RunState mayHaveRun = RunState::MayHaveRun;
 
 // In the order of the enumeration, so that a kind is the index of its row.
-constexpr std::array<ErrorAnswer, 24> answers = {{
+constexpr std::array<ErrorAnswer, 25> answers = {{
     {ErrorKind::BadRequest, "bad_request", 400, notRun, false, "The request is not well formed."},
     {ErrorKind::BodyTooLarge, "body_too_large", 413, notRun, false, "The body is larger than the limit."},
     {ErrorKind::UnknownRoute, "unknown_route", 404, notRun, false, "No such route or model."},
@@ -37,6 +37,7 @@
     {ErrorKind::RequestBlocked, "request_blocked", 422, notRun, false, "The request is blocked, as engines crashed while they ran it."},
     {ErrorKind::Cancelled, "cancelled", 499, mayHaveRun, false, "The caller went away."},
     {ErrorKind::VersionConflict, "version_conflict", 409, notRun, true, "The configuration has changed since it was read."},
+    {ErrorKind::Stopping, "stopping", 503, notRun, true, "The daemon is stopping."},
 }};
 
 }
--- a/core/errorkind.h
+++ b/core/errorkind.h
@@ -32,6 +32,7 @@
     RequestBlocked,
     Cancelled,
     VersionConflict,
+    Stopping,
 };
 
 /** Whether the request was handed to an endpoint. */
--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -95,6 +95,25 @@
         m_log.write("peer", "entry daemon linked", {{"entry", origin.sender}});
         tell(origin.link, stateNow());
     }
+    answerDemands(origin, body.demandReport);
+}
+
+void CompanionRole::answerDemands(const MessageOrigin &origin, const wire::DemandReport &report)
+{
+    const TimePoint now = Loop::now();
+    m_shares.noteDaemon(origin.sender, now);
+    wire::ShareGrant grant;
+    grant.__set_reportId(report.reportId);
+    grant.__set_entryDaemons(m_shares.daemonCount(now));
+    for (const wire::AccountDemand &demand : report.demands) {
+        wire::AccountShare share;
+        share.__set_account(demand.account);
+        share.__set_share(m_shares.report(origin.sender, demand.account, demand.perSecond, now));
+        grant.shares.push_back(share);
+    }
+    wire::Body answer;
+    answer.__set_shareGrant(grant);
+    m_links.send(origin.link, answer);
 }
 
 const ListedEndpoint *CompanionRole::ownEntry() const
@@ -115,15 +134,19 @@
     if (!m_report.has_value()) {
         return;
     }
-    std::vector<std::string> pool;
+    const OperatorFeed::NamedWeightsState named = m_operators.namedWeights(m_report->model);
+    std::vector<std::string> outdated;
+    std::size_t poolSize = 0;
     if (own != nullptr) {
         for (const ListedEndpoint *endpoint : m_endpoints.directory().available(own->service)) {
-            pool.push_back(endpoint->id);
+            ++poolSize;
+            if (endpoint->weightsVersion < named.version) {
+                outdated.push_back(endpoint->id);
+            }
         }
     }
-    const OperatorFeed::NamedWeightsState named = m_operators.namedWeights(m_report->model);
     if (named.version > m_rollout.wantedVersion()) {
-        m_rollout.name(named.version, pool, own == nullptr ? std::string() : own->id, Loop::now());
+        m_rollout.name(named.version, poolSize, outdated, own == nullptr ? std::string() : own->id, Loop::now());
     }
 }
 
--- a/main/companion/companionrole.h
+++ b/main/companion/companionrole.h
@@ -8,6 +8,7 @@
 #include "main/peerlinks.h"
 #include "main/role.h"
 #include "platform/engineclient.h"
+#include "servers/quotashares.h"
 #include "servers/weightsrollout.h"
 
 #include <optional>
@@ -30,6 +31,7 @@
     EndpointFeed m_endpoints;
     platform::EngineClient m_engine;
     WeightsRollout m_rollout;
+    QuotaShares m_shares;
     std::string m_engineAddress;
     std::optional<platform::EngineReport> m_report;
     bool m_isAnswering = false;
@@ -42,6 +44,7 @@
     TimePoint m_toldAt = timeNever;
 
     void takeMessage(const MessageOrigin &origin, const wire::Body &body);
+    void answerDemands(const MessageOrigin &origin, const wire::DemandReport &report);
     void acquireFence();
     void tick(TimePoint now);
     void askEngine();
--- a/main/proxy/enginelinks.h
+++ b/main/proxy/enginelinks.h
@@ -5,10 +5,12 @@
 #include "main/feeds/operatorfeed.h"
 #include "main/peerlinks.h"
 #include "servers/endpointplacement.h"
+#include "servers/quotagate.h"
 
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace citronspar
 {
@@ -22,23 +24,31 @@
     OperatorFeed &m_operators;
     EndpointFeed &m_endpoints;
     EndpointPlacement &m_engines;
+    QuotaGate &m_quotas;
     DecisionLog &m_log;
     int m_peerPort;
+    std::int64_t m_lastReport = 0;
+    /** When the reports left that are not answered yet. */
+    std::map<std::int64_t, TimePoint> m_reportTimes;
+    int m_rounds = 0;
     /** The newest state by the address of the engine. */
     std::map<std::string, wire::EngineState> m_states;
 
+    void takeGrant(const wire::ShareGrant &grant);
+    void sendReport(const std::string &address, std::vector<wire::AccountDemand> demands);
+    std::string holderOf(const std::string &account, const std::set<std::string> &addresses) const;
     void takeState(const wire::EngineState &state);
     void applyState(const ListedEndpoint &endpoint, const wire::EngineState &state);
 
 public:
     /** @param peerPort the port of the daemon beside each engine */
     EngineLinks(DaemonCore &core, PeerLinks &links, OperatorFeed &operators, EndpointFeed &endpoints, EndpointPlacement &engines,
-                DecisionLog &log, int peerPort);
+                QuotaGate &quotas, DecisionLog &log, int peerPort);
 
     /** The addresses of the daemons beside the listed engines. */
     std::set<std::string> daemonAddresses() const;
 
-    /** Opens links to daemons that have none. */
+    /** Opens links to daemons that have none, and tells the holders of accounts the demand. */
     void keepLinks();
 };
 
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -33,6 +33,11 @@
 constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
 constexpr std::uint64_t retryAfterSpreadMicroseconds = 350000;
 
+// A request waits for its account's rate for this part of its latency
+// objective at the most: a later refusal would only cost the caller time.
+constexpr int quotaWaitDivisor = 8;
+constexpr Duration quotaRetryStep = std::chrono::milliseconds(2);
+
 constexpr std::uint64_t splitSeed = 0x5711;
 constexpr std::uint64_t prefixSeed = 0x9e37;
 constexpr int serverError = 500;
@@ -67,6 +72,7 @@
 ProxyCall::~ProxyCall()
 {
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
+    m_services.loop.timers().unsubscribe(m_quotaTimer);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -89,6 +95,30 @@
     m_timeoutTimer = m_services.loop.timers().subscribeOnce(left, [this](TimePoint) {
         timeOut();
     });
+    payAndSend(true);
+}
+
+void ProxyCall::payAndSend(bool isFirstTry)
+{
+    m_quotaTimer = 0;
+    if (m_account != nullptr) {
+        const TimePoint now = Loop::now();
+        m_quotaCost = QuotaGate::costOf(*m_account, m_request.hasTokenCounts,
+                                        static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
+        m_hasPaid = m_services.quotas.take(*m_account, m_quotaCost, isFirstTry, now);
+        if (!m_hasPaid) {
+            const Duration wait = m_services.quotas.timeUntilFilled(*m_account, now) + quotaRetryStep;
+            const Duration mayWait = m_route->targetLatency / quotaWaitDivisor - (now - m_incoming.arrived);
+            if (wait > mayWait) {
+                fail(ErrorKind::OverLimit);
+                return;
+            }
+            m_quotaTimer = m_services.loop.timers().subscribeOnce(wait, [this](TimePoint) {
+                payAndSend(false);
+            });
+            return;
+        }
+    }
     send();
 }
 
@@ -454,6 +484,10 @@
     m_services.metrics.count(std::string("requests ") + outcome);
     m_services.metrics.sample("request", Loop::now() - m_incoming.arrived);
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
+    m_services.loop.timers().unsubscribe(m_quotaTimer);
+    if (m_hasPaid && m_ledger.has_value() && m_ledger->isSurelyNotRun()) {
+        m_services.quotas.giveBack(*m_account, m_quotaCost);
+    }
     m_onEnd(m_exchange);
 }
 
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -37,6 +37,9 @@
     PlacedPrompt m_prompt;
     TimerService::TimerId m_timeoutTimer = 0;
     TimePoint m_timeoutAt{};
+    TimerService::TimerId m_quotaTimer = 0;
+    double m_quotaCost = 0;
+    bool m_hasPaid = false;
 
     HttpPool::CallId m_call = 0;
     std::string m_endpoint;
@@ -55,6 +58,7 @@
     EndpointPlacement &placement();
     std::optional<ErrorKind> admit();
     std::optional<ErrorKind> checkKey();
+    void payAndSend(bool isFirstTry);
     void send();
     std::optional<EndpointPlacement::Choice> choosePlace();
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -15,12 +15,10 @@
 constexpr Duration operatorWait = std::chrono::milliseconds(1200);
 constexpr Duration endpointWait = std::chrono::milliseconds(3000);
 
-// The platform takes a daemon out after two missed questions, one a second;
-// connections that were on their way come a little later.
-constexpr Duration acceptAfterStop = std::chrono::milliseconds(2600);
+constexpr Duration idleCheckPeriod = std::chrono::milliseconds(200);
 
-// The process leaves this long before it would be killed.
-constexpr Duration leaveMargin = std::chrono::milliseconds(400);
+// Other daemons take the request at once.
+constexpr Duration retryAfterStop = std::chrono::milliseconds(20);
 
 // Without a confirmation for this long callers are better served elsewhere.
 constexpr Duration readyProofAge = std::chrono::milliseconds(3000);
@@ -29,6 +27,13 @@
 constexpr double assumedEntryDaemons = 6;
 constexpr double retryShareUsed = 0.9;
 
+ShutdownPlan::Settings shutdownSettings(Duration grace)
+{
+    ShutdownPlan::Settings settings;
+    settings.grace = grace;
+    return settings;
+}
+
 EndpointPlacement::Settings plainPlacement()
 {
     EndpointPlacement::Settings settings;
@@ -53,9 +58,21 @@
     , m_plain(plainPlacement())
     , m_retries(settings.retryShare * retryShareUsed, settings.retrySlack * retryShareUsed / assumedEntryDaemons)
     , m_freshness(settings.keyRevocation)
-    , m_engineLinks(core, links, m_operators, m_endpoints, m_engines, m_log, settings.peerPort)
-    , m_services{core.loop(), m_listener, m_pool,      m_operators, m_endpoints,    m_engines,
-                 m_plain,     m_retries,  m_freshness, m_log,       core.metrics(), settings.weightsDeadline}
+    , m_engineLinks(core, links, m_operators, m_endpoints, m_engines, m_quotas, m_log, settings.peerPort)
+    , m_services{core.loop(),
+                 m_listener,
+                 m_pool,
+                 m_operators,
+                 m_endpoints,
+                 m_engines,
+                 m_plain,
+                 m_retries,
+                 m_freshness,
+                 m_quotas,
+                 m_log,
+                 core.metrics(),
+                 settings.weightsDeadline}
+    , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncoming request) {
         startCall(id, std::move(request));
@@ -105,6 +122,10 @@
 
 void ProxyRole::startCall(HttpListener::ExchangeId id, HttpIncoming request)
 {
+    if (!m_shutdown.servesNewRequests(Loop::now())) {
+        refuseWhileStopping(id, request);
+        return;
+    }
     std::unique_ptr<ProxyCall> call
         = std::make_unique<ProxyCall>(m_services, id, std::move(request), [this](HttpListener::ExchangeId ended) {
               endCall(ended);
@@ -114,6 +135,14 @@
     started.start();
 }
 
+void ProxyRole::refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncoming &request)
+{
+    const std::string requestId = platform::decodeCallerRequest(request.head).id;
+    m_log.write("request", "stopping", {{"request", requestId}});
+    m_listener.respond(id, platform::ownAnswerHead(errorAnswer(ErrorKind::Stopping).httpStatus, requestId, retryAfterStop),
+                       errorAnswer(ErrorKind::Stopping).text);
+}
+
 void ProxyRole::endCall(HttpListener::ExchangeId id)
 {
     const auto found = m_calls.find(id);
@@ -129,7 +158,7 @@
 bool ProxyRole::isReady() const
 {
     const TimePoint confirmedAt = m_operators.confirmedAt();
-    return !m_isStopping && m_operators.config() != nullptr && m_endpoints.isKnown() && confirmedAt != timeNever
+    return !m_shutdown.isStarted() && m_operators.config() != nullptr && m_endpoints.isKnown() && confirmedAt != timeNever
         && Loop::now() - confirmedAt < readyProofAge;
 }
 
@@ -142,19 +171,19 @@
 
 void ProxyRole::beginStop()
 {
-    m_isStopping = true;
-    m_stopAt = Loop::now();
+    m_shutdown.start(Loop::now());
     m_listener.beginStop();
+    m_core.timers().subscribe(idleCheckPeriod, [this](TimePoint now) {
+        if (m_shutdown.closesIdleConnections(now)) {
+            m_listener.closeIdle();
+        }
+    });
     m_log.write("daemon", "stopping", {{"requests", std::to_string(m_calls.size())}});
 }
 
 bool ProxyRole::isIdle() const
 {
-    const Duration stopping = Loop::now() - m_stopAt;
-    if (stopping > m_platform.stopGrace - leaveMargin) {
-        return true;
-    }
-    return stopping > acceptAfterStop && m_calls.empty();
+    return m_shutdown.mayLeave(Loop::now(), m_calls.size());
 }
 
 }
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -6,6 +6,7 @@
 #include "main/proxy/proxycall.h"
 #include "main/proxy/proxyservices.h"
 #include "main/role.h"
+#include "servers/shutdownplan.h"
 
 #include <map>
 #include <memory>
@@ -30,13 +31,14 @@
     EndpointPlacement m_plain;
     RetryBudget m_retries;
     KeyFreshness m_freshness;
+    QuotaGate m_quotas;
     EngineLinks m_engineLinks;
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
-    bool m_isStopping = false;
-    TimePoint m_stopAt{};
+    ShutdownPlan m_shutdown;
 
     void startCall(HttpListener::ExchangeId id, HttpIncoming request);
+    void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncoming &request);
     void endCall(HttpListener::ExchangeId id);
     void answerReadiness(HttpListener::ExchangeId id, const HttpIncoming &request);
     bool isReady() const;
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -7,6 +7,7 @@
 #include "main/feeds/operatorfeed.h"
 #include "servers/endpointplacement.h"
 #include "servers/keyfreshness.h"
+#include "servers/quotagate.h"
 #include "servers/retrybudget.h"
 
 namespace citronspar
@@ -26,6 +27,7 @@
     EndpointPlacement &plain;
     RetryBudget &retries;
     KeyFreshness &freshness;
+    QuotaGate &quotas;
     DecisionLog &log;
     Metrics &metrics;
     Duration weightsDeadline;
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -3365,6 +3365,10 @@
 void DemandReport::__set_demands(const std::vector<AccountDemand> & val) {
   this->demands = val;
 }
+
+void DemandReport::__set_reportId(const int64_t val) {
+  this->reportId = val;
+}
 std::ostream& operator<<(std::ostream& out, const DemandReport& obj)
 {
   obj.printTo(out);
@@ -3413,6 +3417,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reportId);
+          this->__isset.reportId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3442,6 +3454,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reportId", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->reportId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3450,15 +3466,18 @@
 void swap(DemandReport &a, DemandReport &b) {
   using ::std::swap;
   swap(a.demands, b.demands);
+  swap(a.reportId, b.reportId);
   swap(a.__isset, b.__isset);
 }
 
 DemandReport::DemandReport(const DemandReport& other68) {
   demands = other68.demands;
+  reportId = other68.reportId;
   __isset = other68.__isset;
 }
 DemandReport& DemandReport::operator=(const DemandReport& other69) {
   demands = other69.demands;
+  reportId = other69.reportId;
   __isset = other69.__isset;
   return *this;
 }
@@ -3466,6 +3485,7 @@
   using ::apache::thrift::to_string;
   out << "DemandReport(";
   out << "demands=" << to_string(demands);
+  out << ", " << "reportId=" << to_string(reportId);
   out << ")";
 }
 
@@ -3586,6 +3606,10 @@
 }
 
 
+void ShareGrant::__set_reportId(const int64_t val) {
+  this->reportId = val;
+}
+
 void ShareGrant::__set_shares(const std::vector<AccountShare> & val) {
   this->shares = val;
 }
@@ -3621,6 +3645,14 @@
     }
     switch (fid)
     {
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reportId);
+          this->__isset.reportId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
@@ -3682,6 +3714,10 @@
   xfer += oprot->writeI32(this->entryDaemons);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reportId", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reportId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3689,17 +3725,20 @@
 
 void swap(ShareGrant &a, ShareGrant &b) {
   using ::std::swap;
+  swap(a.reportId, b.reportId);
   swap(a.shares, b.shares);
   swap(a.entryDaemons, b.entryDaemons);
   swap(a.__isset, b.__isset);
 }
 
 ShareGrant::ShareGrant(const ShareGrant& other78) {
+  reportId = other78.reportId;
   shares = other78.shares;
   entryDaemons = other78.entryDaemons;
   __isset = other78.__isset;
 }
 ShareGrant& ShareGrant::operator=(const ShareGrant& other79) {
+  reportId = other79.reportId;
   shares = other79.shares;
   entryDaemons = other79.entryDaemons;
   __isset = other79.__isset;
@@ -3708,7 +3747,8 @@
 void ShareGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ShareGrant(";
-  out << "shares=" << to_string(shares);
+  out << "reportId=" << to_string(reportId);
+  out << ", " << "shares=" << to_string(shares);
   out << ", " << "entryDaemons=" << to_string(entryDaemons);
   out << ")";
 }
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -1498,8 +1498,9 @@
 std::ostream& operator<<(std::ostream& out, const AccountDemand& obj);
 
 typedef struct _DemandReport__isset {
-  _DemandReport__isset() : demands(false) {}
+  _DemandReport__isset() : demands(false), reportId(false) {}
   bool demands :1;
+  bool reportId :1;
 } _DemandReport__isset;
 
 /**
@@ -1510,20 +1511,26 @@
 
   DemandReport(const DemandReport&);
   DemandReport& operator=(const DemandReport&);
-  DemandReport() noexcept {
+  DemandReport() noexcept
+               : reportId(0) {
   }
 
   virtual ~DemandReport() noexcept;
   std::vector<AccountDemand>  demands;
+  int64_t reportId;
 
   _DemandReport__isset __isset;
 
   void __set_demands(const std::vector<AccountDemand> & val);
 
+  void __set_reportId(const int64_t val);
+
   bool operator == (const DemandReport & rhs) const
   {
     if (!(demands == rhs.demands))
       return false;
+    if (!(reportId == rhs.reportId))
+      return false;
     return true;
   }
   bool operator != (const DemandReport &rhs) const {
@@ -1596,7 +1603,8 @@
 std::ostream& operator<<(std::ostream& out, const AccountShare& obj);
 
 typedef struct _ShareGrant__isset {
-  _ShareGrant__isset() : shares(false), entryDaemons(false) {}
+  _ShareGrant__isset() : reportId(false), shares(false), entryDaemons(false) {}
+  bool reportId :1;
   bool shares :1;
   bool entryDaemons :1;
 } _ShareGrant__isset;
@@ -1610,10 +1618,12 @@
   ShareGrant(const ShareGrant&);
   ShareGrant& operator=(const ShareGrant&);
   ShareGrant() noexcept
-             : entryDaemons(0) {
+             : reportId(0),
+               entryDaemons(0) {
   }
 
   virtual ~ShareGrant() noexcept;
+  int64_t reportId;
   std::vector<AccountShare>  shares;
   /**
    * The entry daemons that the holder heard of lately.
@@ -1622,12 +1632,16 @@
 
   _ShareGrant__isset __isset;
 
+  void __set_reportId(const int64_t val);
+
   void __set_shares(const std::vector<AccountShare> & val);
 
   void __set_entryDaemons(const int32_t val);
 
   bool operator == (const ShareGrant & rhs) const
   {
+    if (!(reportId == rhs.reportId))
+      return false;
     if (!(shares == rhs.shares))
       return false;
     if (!(entryDaemons == rhs.entryDaemons))
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -168,6 +168,7 @@
 /** Sent regularly by each entry daemon to the holder of an account's rate. */
 struct DemandReport {
   1: list<AccountDemand> demands
+  2: i64 reportId
 }
 
 struct AccountShare {
@@ -178,6 +179,7 @@
 
 /** The shares of one entry daemon, until the next report is answered or the lease runs out. */
 struct ShareGrant {
+  3: i64 reportId
   1: list<AccountShare> shares
   /** The entry daemons that the holder heard of lately. */
   2: i32 entryDaemons
--- a/servers/weightsrollout.cpp
+++ b/servers/weightsrollout.cpp
@@ -17,7 +17,8 @@
 {
 }
 
-void WeightsRollout::name(std::int64_t version, const std::vector<std::string> &ids, const std::string &own, TimePoint now)
+void WeightsRollout::name(std::int64_t version, std::size_t poolSize, const std::vector<std::string> &ids, const std::string &own,
+                          TimePoint now)
 {
     if (version <= m_wanted) {
         return;
@@ -35,7 +36,8 @@
         // The order turns with each version: engines that were not reached before a newer version came are first then.
         rank = count - 1 - rank;
     }
-    const std::size_t groupSize = std::max<std::size_t>(1, count / static_cast<std::size_t>(m_settings.groups));
+    const std::size_t groups = static_cast<std::size_t>(m_settings.groups);
+    const std::size_t groupSize = std::max<std::size_t>(1, (std::max(poolSize, count) + groups / 2) / groups);
     const std::int64_t group = static_cast<std::int64_t>(rank / groupSize);
     m_orderAt = now + m_settings.announceLead + group * m_settings.groupInterval;
 }
--- a/servers/weightsrollout.h
+++ b/servers/weightsrollout.h
@@ -54,10 +54,11 @@
 
     /**
      * The operators name @p version.
-     * @param ids the engines of the pool that are in use
+     * @param poolSize the engines of the pool that are in use
+     * @param ids those of them that have older weights
      * @param own the id of the engine beside this daemon
      */
-    void name(std::int64_t version, const std::vector<std::string> &ids, const std::string &own, TimePoint now);
+    void name(std::int64_t version, std::size_t poolSize, const std::vector<std::string> &ids, const std::string &own, TimePoint now);
 
     /** The engine's report: its version, and whether it carries out an order. */
     void report(std::int64_t version, bool isBusy, TimePoint now);
