--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -28,6 +28,11 @@
 // The table in which each daemon leaves its name; the write gives it a fencing token.
 constexpr const char *holderTable = "holders";
 
+// An entry daemon that was not heard of for this long has left; until then its part of the rates is kept free.
+constexpr Duration entryDaemonMemory = std::chrono::seconds(30);
+
+constexpr std::chrono::milliseconds unknownAccountWait = std::chrono::milliseconds(500);
+
 // Load is told when it has changed by this many requests.
 constexpr std::int64_t toldLoadStep = 2;
 
@@ -43,6 +48,7 @@
     , m_endpoints(core.loop(), m_store, m_log, feedWait, settings.returnGrace)
     , m_engine(m_pool, parseSocketAddress(core.settings().engine))
     , m_rollout(WeightsRollout::Settings())
+    , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow}, Loop::now())
     , m_engineAddress(core.settings().engine)
 {
     m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
@@ -88,32 +94,54 @@
 
 void CompanionRole::takeMessage(const MessageOrigin &origin, const wire::Body &body)
 {
-    if (!body.__isset.demandReport) {
-        return;
+    if (body.__isset.entryHello) {
+        takeHello(origin);
+    } else if (body.__isset.reserve) {
+        answerReserve(origin, body.reserve);
     }
+}
+
+void CompanionRole::takeHello(const MessageOrigin &origin)
+{
+    m_entryDaemons[origin.sender] = Loop::now();
     if (m_subscribers.insert(origin.link).second) {
         m_log.write("peer", "entry daemon linked", {{"entry", origin.sender}});
         tell(origin.link, stateNow());
     }
-    answerDemands(origin, body.demandReport);
 }
 
-void CompanionRole::answerDemands(const MessageOrigin &origin, const wire::DemandReport &report)
+int CompanionRole::countEntryDaemons(TimePoint now)
 {
-    const TimePoint now = Loop::now();
-    m_shares.noteDaemon(origin.sender, now);
-    wire::ShareGrant grant;
-    grant.__set_reportId(report.reportId);
-    grant.__set_entryDaemons(m_shares.daemonCount(now));
-    for (const wire::AccountDemand &demand : report.demands) {
-        wire::AccountShare share;
-        share.__set_account(demand.account);
-        share.__set_share(m_shares.report(origin.sender, demand.account, demand.perSecond, now));
-        grant.shares.push_back(share);
+    for (auto it = m_entryDaemons.begin(); it != m_entryDaemons.end();) {
+        it = now - it->second > entryDaemonMemory ? m_entryDaemons.erase(it) : std::next(it);
     }
-    wire::Body answer;
-    answer.__set_shareGrant(grant);
-    m_links.send(origin.link, answer);
+    return static_cast<int>(m_entryDaemons.size());
+}
+
+void CompanionRole::answerReserve(const MessageOrigin &origin, const wire::Reserve &question)
+{
+    wire::ReserveAnswer answer;
+    answer.__set_reservationId(question.reservationId);
+    const std::shared_ptr<const TrafficConfig> config = m_operators.config();
+    const TrafficAccount *account = config == nullptr ? nullptr : config->findAccountByName(question.account);
+    if (account != nullptr) {
+        const QuotaHolder::Answer decided = m_quotas.reserve(*account, static_cast<double>(question.tokens), Loop::now());
+        answer.__set_isGranted(decided.isGranted);
+        answer.__set_retryAfterMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(decided.wait).count() + 1);
+        if (!decided.isGranted) {
+            m_log.write("quota", "refused",
+                        {{"account", question.account},
+                         {"entry", origin.sender},
+                         {"cost", std::to_string(question.tokens)},
+                         {"waitMs", millisecondsText(decided.wait)},
+                         {"config", std::to_string(config->version)}});
+        }
+    } else {
+        answer.__set_retryAfterMilliseconds(unknownAccountWait.count());
+    }
+    wire::Body body;
+    body.__set_reserveAnswer(answer);
+    m_links.send(origin.link, body);
 }
 
 const ListedEndpoint *CompanionRole::ownEntry() const
@@ -221,9 +249,10 @@
     });
 }
 
-wire::EngineState CompanionRole::stateNow() const
+wire::EngineState CompanionRole::stateNow()
 {
     wire::EngineState state;
+    state.entryDaemons = countEntryDaemons(Loop::now());
     state.address = m_engineAddress;
     state.isAnswering = m_isAnswering;
     state.isLoading = m_rollout.isLoading(Loop::now());
--- a/main/companion/companionrole.h
+++ b/main/companion/companionrole.h
@@ -8,9 +8,10 @@
 #include "main/peerlinks.h"
 #include "main/role.h"
 #include "platform/engineclient.h"
-#include "servers/quotashares.h"
+#include "servers/quotaholder.h"
 #include "servers/weightsrollout.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,7 +32,9 @@
     EndpointFeed m_endpoints;
     platform::EngineClient m_engine;
     WeightsRollout m_rollout;
-    QuotaShares m_shares;
+    QuotaHolder m_quotas;
+    /** The entry daemons, with the time at which each was last heard of. */
+    std::map<std::string, TimePoint> m_entryDaemons;
     std::string m_engineAddress;
     std::optional<platform::EngineReport> m_report;
     bool m_isAnswering = false;
@@ -44,7 +47,9 @@
     TimePoint m_toldAt = timeNever;
 
     void takeMessage(const MessageOrigin &origin, const wire::Body &body);
-    void answerDemands(const MessageOrigin &origin, const wire::DemandReport &report);
+    void takeHello(const MessageOrigin &origin);
+    void answerReserve(const MessageOrigin &origin, const wire::Reserve &question);
+    int countEntryDaemons(TimePoint now);
     void acquireFence();
     void tick(TimePoint now);
     void askEngine();
@@ -53,7 +58,7 @@
     void act();
     void giveOrder();
     const ListedEndpoint *ownEntry() const;
-    wire::EngineState stateNow() const;
+    wire::EngineState stateNow();
     void tellIfChanged();
     void tell(PeerNetwork::LinkId link, const wire::EngineState &state);
 
--- a/main/proxy/enginelinks.h
+++ b/main/proxy/enginelinks.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace citronspar
 {
@@ -27,16 +26,9 @@
     QuotaGate &m_quotas;
     DecisionLog &m_log;
     int m_peerPort;
-    std::int64_t m_lastReport = 0;
-    /** When the reports left that are not answered yet. */
-    std::map<std::int64_t, TimePoint> m_reportTimes;
-    int m_rounds = 0;
     /** The newest state by the address of the engine. */
     std::map<std::string, wire::EngineState> m_states;
 
-    void takeGrant(const wire::ShareGrant &grant);
-    void sendReport(const std::string &address, std::vector<wire::AccountDemand> demands);
-    std::string holderOf(const std::string &account, const std::set<std::string> &addresses) const;
     void takeState(const wire::EngineState &state);
     void applyState(const ListedEndpoint &endpoint, const wire::EngineState &state);
 
@@ -48,7 +40,7 @@
     /** The addresses of the daemons beside the listed engines. */
     std::set<std::string> daemonAddresses() const;
 
-    /** Opens links to daemons that have none, and tells the holders of accounts the demand. */
+    /** Opens links to daemons that have none. */
     void keepLinks();
 };
 
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -36,7 +36,6 @@
 // A request waits for its account's rate for this part of its latency
 // objective at the most: a later refusal would only cost the caller time.
 constexpr int quotaWaitDivisor = 8;
-constexpr Duration quotaRetryStep = std::chrono::milliseconds(2);
 
 constexpr std::uint64_t splitSeed = 0x5711;
 constexpr std::uint64_t prefixSeed = 0x9e37;
@@ -73,6 +72,7 @@
 {
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
     m_services.loop.timers().unsubscribe(m_quotaTimer);
+    m_services.holders.cancel(m_reservation);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -95,31 +95,46 @@
     m_timeoutTimer = m_services.loop.timers().subscribeOnce(left, [this](TimePoint) {
         timeOut();
     });
-    payAndSend(true);
+    payAndSend();
 }
 
-void ProxyCall::payAndSend(bool isFirstTry)
+void ProxyCall::payAndSend()
 {
     m_quotaTimer = 0;
-    if (m_account != nullptr) {
-        const TimePoint now = Loop::now();
-        m_quotaCost = QuotaGate::costOf(*m_account, m_request.hasTokenCounts,
-                                        static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
-        m_hasPaid = m_services.quotas.take(*m_account, m_quotaCost, isFirstTry, now);
-        if (!m_hasPaid) {
-            const Duration wait = m_services.quotas.timeUntilFilled(*m_account, now) + quotaRetryStep;
-            const Duration mayWait = m_route->targetLatency / quotaWaitDivisor - (now - m_incoming.arrived);
-            if (wait > mayWait) {
-                fail(ErrorKind::OverLimit);
-                return;
-            }
-            m_quotaTimer = m_services.loop.timers().subscribeOnce(wait, [this](TimePoint) {
-                payAndSend(false);
-            });
-            return;
-        }
+    if (m_account == nullptr) {
+        send();
+        return;
+    }
+    m_quotaCost = quotaCost(*m_account, m_request.hasTokenCounts, static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
+    m_hasPaid = m_services.quotas.take(*m_account, m_quotaCost, Loop::now());
+    if (m_hasPaid) {
+        send();
+        return;
+    }
+    const std::set<std::string> holders = m_services.engineLinks.daemonAddresses();
+    m_reservation = m_services.holders.reserve(m_account->name, m_quotaCost, holders, [this](QuotaClient::Outcome outcome, Duration wait) {
+        takeReservation(outcome, wait);
+    });
+}
+
+void ProxyCall::takeReservation(QuotaClient::Outcome outcome, Duration wait)
+{
+    m_reservation = 0;
+    const TimePoint now = Loop::now();
+    m_hasPaid = outcome == QuotaClient::Outcome::Granted
+        || (outcome == QuotaClient::Outcome::NoAnswer && m_services.quotas.takeOverdrawn(*m_account, m_quotaCost, now));
+    if (m_hasPaid) {
+        send();
+        return;
     }
-    send();
+    const Duration mayWait = m_route->targetLatency / quotaWaitDivisor - (now - m_incoming.arrived);
+    if (outcome == QuotaClient::Outcome::NoAnswer || wait > mayWait) {
+        fail(outcome == QuotaClient::Outcome::NoAnswer ? ErrorKind::LimitsUnavailable : ErrorKind::OverLimit);
+        return;
+    }
+    m_quotaTimer = m_services.loop.timers().subscribeOnce(wait, [this](TimePoint) {
+        payAndSend();
+    });
 }
 
 std::optional<ErrorKind> ProxyCall::admit()
@@ -223,8 +238,23 @@
     return m_prompt.ownTokens;
 }
 
+bool ProxyCall::isKeyStillGood() const
+{
+    if (m_account == nullptr) {
+        return true;
+    }
+    const std::shared_ptr<const TrafficConfig> &newest = m_services.operators.config();
+    const TrafficAccount *holder = newest->findAccount(*m_request.key);
+    return holder != nullptr && holder->name == m_account->name
+        && m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now());
+}
+
 void ProxyCall::send()
 {
+    if (!isKeyStillGood()) {
+        fail(ErrorKind::NotFresh);
+        return;
+    }
     const std::optional<EndpointPlacement::Choice> choice = choosePlace();
     const ListedEndpoint *endpoint = choice.has_value() ? m_services.endpoints.directory().find(choice->id) : nullptr;
     if (endpoint == nullptr) {
@@ -398,7 +428,7 @@
         send();
         return;
     }
-    fail(m_ledger->isSurelyNotRun() ? kind : ErrorKind::OutcomeUnknown);
+    fail(kind);
 }
 
 void ProxyCall::takeComplete()
@@ -443,6 +473,10 @@
 
 void ProxyCall::fail(ErrorKind kind)
 {
+    if (m_ledger.has_value() && !m_ledger->isSurelyNotRun() && errorAnswer(kind).runState == RunState::NotRun) {
+        // The answer must not promise what is not known.
+        kind = ErrorKind::OutcomeUnknown;
+    }
     if (m_isForwarding) {
         m_services.listener.abort(m_exchange);
         finish("broken off");
@@ -485,8 +519,9 @@
     m_services.metrics.sample("request", Loop::now() - m_incoming.arrived);
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
     m_services.loop.timers().unsubscribe(m_quotaTimer);
+    m_services.holders.cancel(m_reservation);
     if (m_hasPaid && m_ledger.has_value() && m_ledger->isSurelyNotRun()) {
-        m_services.quotas.giveBack(*m_account, m_quotaCost);
+        m_services.quotas.giveBack(*m_account, m_quotaCost, Loop::now());
     }
     m_onEnd(m_exchange);
 }
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -38,6 +38,7 @@
     TimerService::TimerId m_timeoutTimer = 0;
     TimePoint m_timeoutAt{};
     TimerService::TimerId m_quotaTimer = 0;
+    QuotaClient::ReservationId m_reservation = 0;
     double m_quotaCost = 0;
     bool m_hasPaid = false;
 
@@ -58,8 +59,10 @@
     EndpointPlacement &placement();
     std::optional<ErrorKind> admit();
     std::optional<ErrorKind> checkKey();
-    void payAndSend(bool isFirstTry);
+    void payAndSend();
+    void takeReservation(QuotaClient::Outcome outcome, Duration wait);
     void send();
+    bool isKeyStillGood() const;
     std::optional<EndpointPlacement::Choice> choosePlace();
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
     std::string cacheSalt(std::int64_t weightsVersion) const;
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -32,6 +32,7 @@
     RetryBudget m_retries;
     KeyFreshness m_freshness;
     QuotaGate m_quotas;
+    QuotaClient m_holders;
     EngineLinks m_engineLinks;
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -5,6 +5,8 @@
 #include "drivers/httppool.h"
 #include "main/feeds/endpointfeed.h"
 #include "main/feeds/operatorfeed.h"
+#include "main/proxy/enginelinks.h"
+#include "main/proxy/quotaclient.h"
 #include "servers/endpointplacement.h"
 #include "servers/keyfreshness.h"
 #include "servers/quotagate.h"
@@ -28,6 +30,8 @@
     RetryBudget &retries;
     KeyFreshness &freshness;
     QuotaGate &quotas;
+    QuotaClient &holders;
+    EngineLinks &engineLinks;
     DecisionLog &log;
     Metrics &metrics;
     Duration weightsDeadline;
--- /dev/null
+++ b/main/proxy/quotaclient.cpp
@@ -0,0 +1,90 @@
+#include "main/proxy/quotaclient.h"
+
+#include "core/hash.h"
+
+#include <cmath>
+#include <utility>
+
+namespace citronspar
+{
+
+namespace
+{
+
+// A holder in the same region answers in a few milliseconds; callers' latency
+// objectives leave no more time than this.
+constexpr Duration answerTimeout = std::chrono::milliseconds(60);
+
+constexpr std::uint64_t holderSeed = 0x40de;
+
+std::string holderOf(const std::string &account, const std::set<std::string> &addresses)
+{
+    std::string holder;
+    std::uint64_t best = 0;
+    for (const std::string &address : addresses) {
+        const std::uint64_t weight = hashBytes(address, hashBytes(account, holderSeed));
+        if (holder.empty() || weight > best) {
+            holder = address;
+            best = weight;
+        }
+    }
+    return holder;
+}
+
+}
+
+QuotaClient::QuotaClient(DaemonCore &core, PeerLinks &links)
+    : m_core(core)
+    , m_links(links)
+{
+    m_links.onMessage([this](const MessageOrigin &, const wire::Body &body) {
+        if (body.__isset.reserveAnswer) {
+            const wire::ReserveAnswer &answer = body.reserveAnswer;
+            finish(answer.reservationId, answer.isGranted ? Outcome::Granted : Outcome::Refused,
+                   std::chrono::milliseconds(answer.retryAfterMilliseconds));
+        }
+    });
+}
+
+QuotaClient::ReservationId QuotaClient::reserve(const std::string &account, double cost, const std::set<std::string> &holders,
+                                                AnswerHandler handler)
+{
+    const ReservationId id = ++m_lastId;
+    Pending &pending = m_pending[id];
+    pending.handler = std::move(handler);
+    const std::string holder = holderOf(account, holders);
+    wire::Reserve question;
+    question.__set_reservationId(id);
+    question.__set_account(account);
+    question.__set_tokens(static_cast<std::int64_t>(std::ceil(cost)));
+    wire::Body body;
+    body.__set_reserve(question);
+    const bool isSent = !holder.empty() && m_links.sendTo(holder, body);
+    pending.timer = m_core.timers().subscribeOnce(isSent ? answerTimeout : Duration::zero(), [this, id](TimePoint) {
+        finish(id, Outcome::NoAnswer, Duration::zero());
+    });
+    return id;
+}
+
+void QuotaClient::finish(ReservationId id, Outcome outcome, Duration wait)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const AnswerHandler handler = std::move(found->second.handler);
+    m_core.timers().unsubscribe(found->second.timer);
+    m_pending.erase(found);
+    handler(outcome, wait);
+}
+
+void QuotaClient::cancel(ReservationId id)
+{
+    const auto found = m_pending.find(id);
+    if (found != m_pending.end()) {
+        m_core.timers().unsubscribe(found->second.timer);
+        m_pending.erase(found);
+    }
+}
+
+}
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -3033,6 +3033,10 @@
 void EngineState::__set_address(const std::string& val) {
   this->address = val;
 }
+
+void EngineState::__set_entryDaemons(const int32_t val) {
+  this->entryDaemons = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineState& obj)
 {
   obj.printTo(out);
@@ -3133,6 +3137,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entryDaemons);
+          this->__isset.entryDaemons = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3186,6 +3198,10 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entryDaemons", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->entryDaemons);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3202,6 +3218,7 @@
   swap(a.usedTokens, b.usedTokens);
   swap(a.totalTokens, b.totalTokens);
   swap(a.address, b.address);
+  swap(a.entryDaemons, b.entryDaemons);
   swap(a.__isset, b.__isset);
 }
 
@@ -3215,6 +3232,7 @@
   usedTokens = other58.usedTokens;
   totalTokens = other58.totalTokens;
   address = other58.address;
+  entryDaemons = other58.entryDaemons;
   __isset = other58.__isset;
 }
 EngineState& EngineState::operator=(const EngineState& other59) {
@@ -3227,6 +3245,7 @@
   usedTokens = other59.usedTokens;
   totalTokens = other59.totalTokens;
   address = other59.address;
+  entryDaemons = other59.entryDaemons;
   __isset = other59.__isset;
   return *this;
 }
@@ -3242,389 +3261,22 @@
   out << ", " << "usedTokens=" << to_string(usedTokens);
   out << ", " << "totalTokens=" << to_string(totalTokens);
   out << ", " << "address=" << to_string(address);
+  out << ", " << "entryDaemons=" << to_string(entryDaemons);
   out << ")";
 }
 
 
-AccountDemand::~AccountDemand() noexcept {
-}
-
-
-void AccountDemand::__set_account(const std::string& val) {
-  this->account = val;
-}
-
-void AccountDemand::__set_perSecond(const double val) {
-  this->perSecond = val;
-}
-std::ostream& operator<<(std::ostream& out, const AccountDemand& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t AccountDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
-          this->__isset.account = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->perSecond);
-          this->__isset.perSecond = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t AccountDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AccountDemand");
-
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->account);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->perSecond);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(AccountDemand &a, AccountDemand &b) {
-  using ::std::swap;
-  swap(a.account, b.account);
-  swap(a.perSecond, b.perSecond);
-  swap(a.__isset, b.__isset);
-}
-
-AccountDemand::AccountDemand(const AccountDemand& other60) {
-  account = other60.account;
-  perSecond = other60.perSecond;
-  __isset = other60.__isset;
-}
-AccountDemand& AccountDemand::operator=(const AccountDemand& other61) {
-  account = other61.account;
-  perSecond = other61.perSecond;
-  __isset = other61.__isset;
-  return *this;
-}
-void AccountDemand::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "AccountDemand(";
-  out << "account=" << to_string(account);
-  out << ", " << "perSecond=" << to_string(perSecond);
-  out << ")";
-}
-
-
-DemandReport::~DemandReport() noexcept {
-}
-
-
-void DemandReport::__set_demands(const std::vector<AccountDemand> & val) {
-  this->demands = val;
-}
-
-void DemandReport::__set_reportId(const int64_t val) {
-  this->reportId = val;
-}
-std::ostream& operator<<(std::ostream& out, const DemandReport& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t DemandReport::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->demands.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->demands.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
-            {
-              xfer += this->demands[_i66].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.demands = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->reportId);
-          this->__isset.reportId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t DemandReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DemandReport");
-
-  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<AccountDemand> ::const_iterator _iter67;
-    for (_iter67 = this->demands.begin(); _iter67 != this->demands.end(); ++_iter67)
-    {
-      xfer += (*_iter67).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reportId", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->reportId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(DemandReport &a, DemandReport &b) {
-  using ::std::swap;
-  swap(a.demands, b.demands);
-  swap(a.reportId, b.reportId);
-  swap(a.__isset, b.__isset);
-}
-
-DemandReport::DemandReport(const DemandReport& other68) {
-  demands = other68.demands;
-  reportId = other68.reportId;
-  __isset = other68.__isset;
-}
-DemandReport& DemandReport::operator=(const DemandReport& other69) {
-  demands = other69.demands;
-  reportId = other69.reportId;
-  __isset = other69.__isset;
-  return *this;
-}
-void DemandReport::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "DemandReport(";
-  out << "demands=" << to_string(demands);
-  out << ", " << "reportId=" << to_string(reportId);
-  out << ")";
-}
-
-
-AccountShare::~AccountShare() noexcept {
-}
-
-
-void AccountShare::__set_account(const std::string& val) {
-  this->account = val;
-}
-
-void AccountShare::__set_share(const double val) {
-  this->share = val;
-}
-std::ostream& operator<<(std::ostream& out, const AccountShare& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t AccountShare::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
-          this->__isset.account = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->share);
-          this->__isset.share = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t AccountShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AccountShare");
-
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->account);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->share);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(AccountShare &a, AccountShare &b) {
-  using ::std::swap;
-  swap(a.account, b.account);
-  swap(a.share, b.share);
-  swap(a.__isset, b.__isset);
-}
-
-AccountShare::AccountShare(const AccountShare& other70) {
-  account = other70.account;
-  share = other70.share;
-  __isset = other70.__isset;
-}
-AccountShare& AccountShare::operator=(const AccountShare& other71) {
-  account = other71.account;
-  share = other71.share;
-  __isset = other71.__isset;
-  return *this;
-}
-void AccountShare::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "AccountShare(";
-  out << "account=" << to_string(account);
-  out << ", " << "share=" << to_string(share);
-  out << ")";
-}
-
-
-ShareGrant::~ShareGrant() noexcept {
-}
-
-
-void ShareGrant::__set_reportId(const int64_t val) {
-  this->reportId = val;
-}
-
-void ShareGrant::__set_shares(const std::vector<AccountShare> & val) {
-  this->shares = val;
+EntryHello::~EntryHello() noexcept {
 }
 
-void ShareGrant::__set_entryDaemons(const int32_t val) {
-  this->entryDaemons = val;
-}
-std::ostream& operator<<(std::ostream& out, const ShareGrant& obj)
+std::ostream& operator<<(std::ostream& out, const EntryHello& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ShareGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EntryHello::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3643,48 +3295,7 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid)
-    {
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->reportId);
-          this->__isset.reportId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->shares.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->shares.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
-            {
-              xfer += this->shares[_i76].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.shares = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->entryDaemons);
-          this->__isset.entryDaemons = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
+    xfer += iprot->skip(ftype);
     xfer += iprot->readFieldEnd();
   }
 
@@ -3693,63 +3304,32 @@
   return xfer;
 }
 
-uint32_t ShareGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EntryHello::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ShareGrant");
-
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<AccountShare> ::const_iterator _iter77;
-    for (_iter77 = this->shares.begin(); _iter77 != this->shares.end(); ++_iter77)
-    {
-      xfer += (*_iter77).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("entryDaemons", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->entryDaemons);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reportId", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->reportId);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("EntryHello");
 
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ShareGrant &a, ShareGrant &b) {
+void swap(EntryHello &a, EntryHello &b) {
   using ::std::swap;
-  swap(a.reportId, b.reportId);
-  swap(a.shares, b.shares);
-  swap(a.entryDaemons, b.entryDaemons);
-  swap(a.__isset, b.__isset);
+  (void) a;
+  (void) b;
 }
 
-ShareGrant::ShareGrant(const ShareGrant& other78) {
-  reportId = other78.reportId;
-  shares = other78.shares;
-  entryDaemons = other78.entryDaemons;
-  __isset = other78.__isset;
+EntryHello::EntryHello(const EntryHello& other60) noexcept {
+  (void) other60;
 }
-ShareGrant& ShareGrant::operator=(const ShareGrant& other79) {
-  reportId = other79.reportId;
-  shares = other79.shares;
-  entryDaemons = other79.entryDaemons;
-  __isset = other79.__isset;
+EntryHello& EntryHello::operator=(const EntryHello& other61) noexcept {
+  (void) other61;
   return *this;
 }
-void ShareGrant::printTo(std::ostream& out) const {
+void EntryHello::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ShareGrant(";
-  out << "reportId=" << to_string(reportId);
-  out << ", " << "shares=" << to_string(shares);
-  out << ", " << "entryDaemons=" << to_string(entryDaemons);
+  out << "EntryHello(";
   out << ")";
 }
 
@@ -3846,15 +3426,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashSuspect::CrashSuspect(const CrashSuspect& other80) noexcept {
-  requestDigest = other80.requestDigest;
-  crash = other80.crash;
-  __isset = other80.__isset;
+CrashSuspect::CrashSuspect(const CrashSuspect& other62) noexcept {
+  requestDigest = other62.requestDigest;
+  crash = other62.crash;
+  __isset = other62.__isset;
 }
-CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other81) noexcept {
-  requestDigest = other81.requestDigest;
-  crash = other81.crash;
-  __isset = other81.__isset;
+CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other63) noexcept {
+  requestDigest = other63.requestDigest;
+  crash = other63.crash;
+  __isset = other63.__isset;
   return *this;
 }
 void CrashSuspect::printTo(std::ostream& out) const {
@@ -3965,14 +3545,9 @@
 __isset.engineState = true;
 }
 
-void Body::__set_demandReport(const DemandReport& val) {
-  this->demandReport = val;
-__isset.demandReport = true;
-}
-
-void Body::__set_shareGrant(const ShareGrant& val) {
-  this->shareGrant = val;
-__isset.shareGrant = true;
+void Body::__set_entryHello(const EntryHello& val) {
+  this->entryHello = val;
+__isset.entryHello = true;
 }
 
 void Body::__set_crashSuspect(const CrashSuspect& val) {
@@ -4161,21 +3736,13 @@
         break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->demandReport.read(iprot);
-          this->__isset.demandReport = true;
+          xfer += this->entryHello.read(iprot);
+          this->__isset.entryHello = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 21:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->shareGrant.read(iprot);
-          this->__isset.shareGrant = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 22:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->crashSuspect.read(iprot);
           this->__isset.crashSuspect = true;
@@ -4295,18 +3862,13 @@
     xfer += this->engineState.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.demandReport) {
-    xfer += oprot->writeFieldBegin("demandReport", ::apache::thrift::protocol::T_STRUCT, 20);
-    xfer += this->demandReport.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.shareGrant) {
-    xfer += oprot->writeFieldBegin("shareGrant", ::apache::thrift::protocol::T_STRUCT, 21);
-    xfer += this->shareGrant.write(oprot);
+  if (this->__isset.entryHello) {
+    xfer += oprot->writeFieldBegin("entryHello", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->entryHello.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.crashSuspect) {
-    xfer += oprot->writeFieldBegin("crashSuspect", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += oprot->writeFieldBegin("crashSuspect", ::apache::thrift::protocol::T_STRUCT, 21);
     xfer += this->crashSuspect.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
@@ -4336,61 +3898,58 @@
   swap(a.timelineQuestion, b.timelineQuestion);
   swap(a.timelineAnswer, b.timelineAnswer);
   swap(a.engineState, b.engineState);
-  swap(a.demandReport, b.demandReport);
-  swap(a.shareGrant, b.shareGrant);
+  swap(a.entryHello, b.entryHello);
   swap(a.crashSuspect, b.crashSuspect);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other82) {
-  probe = other82.probe;
-  probeAnswer = other82.probeAnswer;
-  dispatch = other82.dispatch;
-  dispatchRefused = other82.dispatchRefused;
-  streamDelta = other82.streamDelta;
-  streamEnd = other82.streamEnd;
-  cancel = other82.cancel;
-  credit = other82.credit;
-  freshnessQuestion = other82.freshnessQuestion;
-  freshnessAnswer = other82.freshnessAnswer;
-  configFetch = other82.configFetch;
-  configPush = other82.configPush;
-  reserve = other82.reserve;
-  reserveAnswer = other82.reserveAnswer;
-  giveBack = other82.giveBack;
-  suspectReport = other82.suspectReport;
-  timelineQuestion = other82.timelineQuestion;
-  timelineAnswer = other82.timelineAnswer;
-  engineState = other82.engineState;
-  demandReport = other82.demandReport;
-  shareGrant = other82.shareGrant;
-  crashSuspect = other82.crashSuspect;
-  __isset = other82.__isset;
-}
-Body& Body::operator=(const Body& other83) {
-  probe = other83.probe;
-  probeAnswer = other83.probeAnswer;
-  dispatch = other83.dispatch;
-  dispatchRefused = other83.dispatchRefused;
-  streamDelta = other83.streamDelta;
-  streamEnd = other83.streamEnd;
-  cancel = other83.cancel;
-  credit = other83.credit;
-  freshnessQuestion = other83.freshnessQuestion;
-  freshnessAnswer = other83.freshnessAnswer;
-  configFetch = other83.configFetch;
-  configPush = other83.configPush;
-  reserve = other83.reserve;
-  reserveAnswer = other83.reserveAnswer;
-  giveBack = other83.giveBack;
-  suspectReport = other83.suspectReport;
-  timelineQuestion = other83.timelineQuestion;
-  timelineAnswer = other83.timelineAnswer;
-  engineState = other83.engineState;
-  demandReport = other83.demandReport;
-  shareGrant = other83.shareGrant;
-  crashSuspect = other83.crashSuspect;
-  __isset = other83.__isset;
+Body::Body(const Body& other64) {
+  probe = other64.probe;
+  probeAnswer = other64.probeAnswer;
+  dispatch = other64.dispatch;
+  dispatchRefused = other64.dispatchRefused;
+  streamDelta = other64.streamDelta;
+  streamEnd = other64.streamEnd;
+  cancel = other64.cancel;
+  credit = other64.credit;
+  freshnessQuestion = other64.freshnessQuestion;
+  freshnessAnswer = other64.freshnessAnswer;
+  configFetch = other64.configFetch;
+  configPush = other64.configPush;
+  reserve = other64.reserve;
+  reserveAnswer = other64.reserveAnswer;
+  giveBack = other64.giveBack;
+  suspectReport = other64.suspectReport;
+  timelineQuestion = other64.timelineQuestion;
+  timelineAnswer = other64.timelineAnswer;
+  engineState = other64.engineState;
+  entryHello = other64.entryHello;
+  crashSuspect = other64.crashSuspect;
+  __isset = other64.__isset;
+}
+Body& Body::operator=(const Body& other65) {
+  probe = other65.probe;
+  probeAnswer = other65.probeAnswer;
+  dispatch = other65.dispatch;
+  dispatchRefused = other65.dispatchRefused;
+  streamDelta = other65.streamDelta;
+  streamEnd = other65.streamEnd;
+  cancel = other65.cancel;
+  credit = other65.credit;
+  freshnessQuestion = other65.freshnessQuestion;
+  freshnessAnswer = other65.freshnessAnswer;
+  configFetch = other65.configFetch;
+  configPush = other65.configPush;
+  reserve = other65.reserve;
+  reserveAnswer = other65.reserveAnswer;
+  giveBack = other65.giveBack;
+  suspectReport = other65.suspectReport;
+  timelineQuestion = other65.timelineQuestion;
+  timelineAnswer = other65.timelineAnswer;
+  engineState = other65.engineState;
+  entryHello = other65.entryHello;
+  crashSuspect = other65.crashSuspect;
+  __isset = other65.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4415,8 +3974,7 @@
   out << ", " << "timelineQuestion="; (__isset.timelineQuestion ? (out << to_string(timelineQuestion)) : (out << "<null>"));
   out << ", " << "timelineAnswer="; (__isset.timelineAnswer ? (out << to_string(timelineAnswer)) : (out << "<null>"));
   out << ", " << "engineState="; (__isset.engineState ? (out << to_string(engineState)) : (out << "<null>"));
-  out << ", " << "demandReport="; (__isset.demandReport ? (out << to_string(demandReport)) : (out << "<null>"));
-  out << ", " << "shareGrant="; (__isset.shareGrant ? (out << to_string(shareGrant)) : (out << "<null>"));
+  out << ", " << "entryHello="; (__isset.entryHello ? (out << to_string(entryHello)) : (out << "<null>"));
   out << ", " << "crashSuspect="; (__isset.crashSuspect ? (out << to_string(crashSuspect)) : (out << "<null>"));
   out << ")";
 }
@@ -4565,21 +4123,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other84) {
-  sender = other84.sender;
-  incarnation = other84.incarnation;
-  wallMicroseconds = other84.wallMicroseconds;
-  wallCounter = other84.wallCounter;
-  body = other84.body;
-  __isset = other84.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other85) {
-  sender = other85.sender;
-  incarnation = other85.incarnation;
-  wallMicroseconds = other85.wallMicroseconds;
-  wallCounter = other85.wallCounter;
-  body = other85.body;
-  __isset = other85.__isset;
+Envelope::Envelope(const Envelope& other66) {
+  sender = other66.sender;
+  incarnation = other66.incarnation;
+  wallMicroseconds = other66.wallMicroseconds;
+  wallCounter = other66.wallCounter;
+  body = other66.body;
+  __isset = other66.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other67) {
+  sender = other67.sender;
+  incarnation = other67.incarnation;
+  wallMicroseconds = other67.wallMicroseconds;
+  wallCounter = other67.wallCounter;
+  body = other67.body;
+  __isset = other67.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -63,13 +63,7 @@
 
 class EngineState;
 
-class AccountDemand;
-
-class DemandReport;
-
-class AccountShare;
-
-class ShareGrant;
+class EntryHello;
 
 class CrashSuspect;
 
@@ -1334,7 +1328,7 @@
 std::ostream& operator<<(std::ostream& out, const TimelineAnswer& obj);
 
 typedef struct _EngineState__isset {
-  _EngineState__isset() : startedMs(false), isAnswering(false), weightsVersion(false), isLoading(false), running(false), waiting(false), usedTokens(false), totalTokens(false), address(false) {}
+  _EngineState__isset() : startedMs(false), isAnswering(false), weightsVersion(false), isLoading(false), running(false), waiting(false), usedTokens(false), totalTokens(false), address(false), entryDaemons(false) {}
   bool startedMs :1;
   bool isAnswering :1;
   bool weightsVersion :1;
@@ -1344,6 +1338,7 @@
   bool usedTokens :1;
   bool totalTokens :1;
   bool address :1;
+  bool entryDaemons :1;
 } _EngineState__isset;
 
 /**
@@ -1363,7 +1358,8 @@
                 waiting(0),
                 usedTokens(0),
                 totalTokens(0),
-                address() {
+                address(),
+                entryDaemons(0) {
   }
 
   virtual ~EngineState() noexcept;
@@ -1385,6 +1381,10 @@
    * The "address:port" at which the engine takes requests.
    */
   std::string address;
+  /**
+   * The entry daemons that this daemon heard of lately.
+   */
+  int32_t entryDaemons;
 
   _EngineState__isset __isset;
 
@@ -1406,6 +1406,8 @@
 
   void __set_address(const std::string& val);
 
+  void __set_entryDaemons(const int32_t val);
+
   bool operator == (const EngineState & rhs) const
   {
     if (!(startedMs == rhs.startedMs))
@@ -1426,6 +1428,8 @@
       return false;
     if (!(address == rhs.address))
       return false;
+    if (!(entryDaemons == rhs.entryDaemons))
+      return false;
     return true;
   }
   bool operator != (const EngineState &rhs) const {
@@ -1444,100 +1448,29 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineState& obj);
 
-typedef struct _AccountDemand__isset {
-  _AccountDemand__isset() : account(false), perSecond(false) {}
-  bool account :1;
-  bool perSecond :1;
-} _AccountDemand__isset;
-
-class AccountDemand : public virtual ::apache::thrift::TBase {
- public:
-
-  AccountDemand(const AccountDemand&);
-  AccountDemand& operator=(const AccountDemand&);
-  AccountDemand() noexcept
-                : account(),
-                  perSecond(0) {
-  }
-
-  virtual ~AccountDemand() noexcept;
-  std::string account;
-  /**
-   * What the account asked of this entry daemon lately, in units of its rate a second.
-   */
-  double perSecond;
-
-  _AccountDemand__isset __isset;
-
-  void __set_account(const std::string& val);
-
-  void __set_perSecond(const double val);
-
-  bool operator == (const AccountDemand & rhs) const
-  {
-    if (!(account == rhs.account))
-      return false;
-    if (!(perSecond == rhs.perSecond))
-      return false;
-    return true;
-  }
-  bool operator != (const AccountDemand &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const AccountDemand & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(AccountDemand &a, AccountDemand &b);
-
-std::ostream& operator<<(std::ostream& out, const AccountDemand& obj);
-
-typedef struct _DemandReport__isset {
-  _DemandReport__isset() : demands(false), reportId(false) {}
-  bool demands :1;
-  bool reportId :1;
-} _DemandReport__isset;
 
 /**
- * Sent regularly by each entry daemon to the holder of an account's rate.
+ * Sent regularly by each entry daemon to the daemons beside the engines, which tell it their state in return.
  */
-class DemandReport : public virtual ::apache::thrift::TBase {
+class EntryHello : public virtual ::apache::thrift::TBase {
  public:
 
-  DemandReport(const DemandReport&);
-  DemandReport& operator=(const DemandReport&);
-  DemandReport() noexcept
-               : reportId(0) {
+  EntryHello(const EntryHello&) noexcept;
+  EntryHello& operator=(const EntryHello&) noexcept;
+  EntryHello() noexcept {
   }
 
-  virtual ~DemandReport() noexcept;
-  std::vector<AccountDemand>  demands;
-  int64_t reportId;
-
-  _DemandReport__isset __isset;
-
-  void __set_demands(const std::vector<AccountDemand> & val);
+  virtual ~EntryHello() noexcept;
 
-  void __set_reportId(const int64_t val);
-
-  bool operator == (const DemandReport & rhs) const
+  bool operator == (const EntryHello & /* rhs */) const
   {
-    if (!(demands == rhs.demands))
-      return false;
-    if (!(reportId == rhs.reportId))
-      return false;
     return true;
   }
-  bool operator != (const DemandReport &rhs) const {
+  bool operator != (const EntryHello &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const DemandReport & ) const;
+  bool operator < (const EntryHello & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1545,124 +1478,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(DemandReport &a, DemandReport &b);
-
-std::ostream& operator<<(std::ostream& out, const DemandReport& obj);
+void swap(EntryHello &a, EntryHello &b);
 
-typedef struct _AccountShare__isset {
-  _AccountShare__isset() : account(false), share(false) {}
-  bool account :1;
-  bool share :1;
-} _AccountShare__isset;
-
-class AccountShare : public virtual ::apache::thrift::TBase {
- public:
-
-  AccountShare(const AccountShare&);
-  AccountShare& operator=(const AccountShare&);
-  AccountShare() noexcept
-               : account(),
-                 share(0) {
-  }
-
-  virtual ~AccountShare() noexcept;
-  std::string account;
-  /**
-   * The share of the account's rate, 0 to 1.
-   */
-  double share;
-
-  _AccountShare__isset __isset;
-
-  void __set_account(const std::string& val);
-
-  void __set_share(const double val);
-
-  bool operator == (const AccountShare & rhs) const
-  {
-    if (!(account == rhs.account))
-      return false;
-    if (!(share == rhs.share))
-      return false;
-    return true;
-  }
-  bool operator != (const AccountShare &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const AccountShare & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(AccountShare &a, AccountShare &b);
-
-std::ostream& operator<<(std::ostream& out, const AccountShare& obj);
-
-typedef struct _ShareGrant__isset {
-  _ShareGrant__isset() : reportId(false), shares(false), entryDaemons(false) {}
-  bool reportId :1;
-  bool shares :1;
-  bool entryDaemons :1;
-} _ShareGrant__isset;
-
-/**
- * The shares of one entry daemon, until the next report is answered or the lease runs out.
- */
-class ShareGrant : public virtual ::apache::thrift::TBase {
- public:
-
-  ShareGrant(const ShareGrant&);
-  ShareGrant& operator=(const ShareGrant&);
-  ShareGrant() noexcept
-             : reportId(0),
-               entryDaemons(0) {
-  }
-
-  virtual ~ShareGrant() noexcept;
-  int64_t reportId;
-  std::vector<AccountShare>  shares;
-  /**
-   * The entry daemons that the holder heard of lately.
-   */
-  int32_t entryDaemons;
-
-  _ShareGrant__isset __isset;
-
-  void __set_reportId(const int64_t val);
-
-  void __set_shares(const std::vector<AccountShare> & val);
-
-  void __set_entryDaemons(const int32_t val);
-
-  bool operator == (const ShareGrant & rhs) const
-  {
-    if (!(reportId == rhs.reportId))
-      return false;
-    if (!(shares == rhs.shares))
-      return false;
-    if (!(entryDaemons == rhs.entryDaemons))
-      return false;
-    return true;
-  }
-  bool operator != (const ShareGrant &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ShareGrant & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ShareGrant &a, ShareGrant &b);
-
-std::ostream& operator<<(std::ostream& out, const ShareGrant& obj);
+std::ostream& operator<<(std::ostream& out, const EntryHello& obj);
 
 typedef struct _CrashSuspect__isset {
   _CrashSuspect__isset() : requestDigest(false), crash(false) {}
@@ -1718,7 +1536,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), demandReport(false), shareGrant(false), crashSuspect(false) {}
+  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false) {}
   bool probe :1;
   bool probeAnswer :1;
   bool dispatch :1;
@@ -1738,8 +1556,7 @@
   bool timelineQuestion :1;
   bool timelineAnswer :1;
   bool engineState :1;
-  bool demandReport :1;
-  bool shareGrant :1;
+  bool entryHello :1;
   bool crashSuspect :1;
 } _Body__isset;
 
@@ -1771,8 +1588,7 @@
   TimelineQuestion timelineQuestion;
   TimelineAnswer timelineAnswer;
   EngineState engineState;
-  DemandReport demandReport;
-  ShareGrant shareGrant;
+  EntryHello entryHello;
   CrashSuspect crashSuspect;
 
   _Body__isset __isset;
@@ -1815,9 +1631,7 @@
 
   void __set_engineState(const EngineState& val);
 
-  void __set_demandReport(const DemandReport& val);
-
-  void __set_shareGrant(const ShareGrant& val);
+  void __set_entryHello(const EntryHello& val);
 
   void __set_crashSuspect(const CrashSuspect& val);
 
@@ -1899,13 +1713,9 @@
       return false;
     else if (__isset.engineState && !(engineState == rhs.engineState))
       return false;
-    if (__isset.demandReport != rhs.__isset.demandReport)
-      return false;
-    else if (__isset.demandReport && !(demandReport == rhs.demandReport))
-      return false;
-    if (__isset.shareGrant != rhs.__isset.shareGrant)
+    if (__isset.entryHello != rhs.__isset.entryHello)
       return false;
-    else if (__isset.shareGrant && !(shareGrant == rhs.shareGrant))
+    else if (__isset.entryHello && !(entryHello == rhs.entryHello))
       return false;
     if (__isset.crashSuspect != rhs.__isset.crashSuspect)
       return false;
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -157,32 +157,12 @@
   8: i64 totalTokens
   /** The "address:port" at which the engine takes requests. */
   9: string address
+  /** The entry daemons that this daemon heard of lately. */
+  10: i32 entryDaemons
 }
 
-struct AccountDemand {
-  1: string account
-  /** What the account asked of this entry daemon lately, in units of its rate a second. */
-  2: double perSecond
-}
-
-/** Sent regularly by each entry daemon to the holder of an account's rate. */
-struct DemandReport {
-  1: list<AccountDemand> demands
-  2: i64 reportId
-}
-
-struct AccountShare {
-  1: string account
-  /** The share of the account's rate, 0 to 1. */
-  2: double share
-}
-
-/** The shares of one entry daemon, until the next report is answered or the lease runs out. */
-struct ShareGrant {
-  3: i64 reportId
-  1: list<AccountShare> shares
-  /** The entry daemons that the holder heard of lately. */
-  2: i32 entryDaemons
+/** Sent regularly by each entry daemon to the daemons beside the engines, which tell it their state in return. */
+struct EntryHello {
 }
 
 /** Requests that were running when an engine crashed, told to all entry daemons. */
@@ -211,9 +191,8 @@
   17: TimelineQuestion timelineQuestion
   18: TimelineAnswer timelineAnswer
   19: EngineState engineState
-  20: DemandReport demandReport
-  21: ShareGrant shareGrant
-  22: CrashSuspect crashSuspect
+  20: EntryHello entryHello
+  21: CrashSuspect crashSuspect
 }
 
 /** One frame between two daemons. */
--- /dev/null
+++ b/servers/quotaholder.cpp
@@ -0,0 +1,36 @@
+#include "servers/quotaholder.h"
+
+#include <algorithm>
+
+namespace citronspar
+{
+
+namespace
+{
+
+constexpr double heldPart = 1 - QuotaGate::evenPart;
+
+}
+
+QuotaHolder::QuotaHolder(QuotaTolerance tolerance, TimePoint startedAt)
+    : m_tolerance(tolerance)
+    , m_startedAt(startedAt)
+{
+}
+
+QuotaHolder::Answer QuotaHolder::reserve(const TrafficAccount &account, double cost, TimePoint now)
+{
+    const double rate = usableRate(account, m_tolerance) * heldPart;
+    const auto inserted = m_buckets.emplace(account.name, Bucket{0, m_startedAt});
+    Bucket &bucket = inserted.first->second;
+    const double seconds = std::max(0.0, toSeconds(now - bucket.filledAt));
+    bucket.level = std::min(account.burst * heldPart, bucket.level + seconds * rate);
+    bucket.filledAt = now;
+    if (bucket.level <= 0) {
+        return Answer{false, rate > 0 ? fromSeconds(-bucket.level / rate) : Duration(std::chrono::seconds(1))};
+    }
+    bucket.level -= cost;
+    return Answer{true, Duration::zero()};
+}
+
+}
--- a/servers/trafficconfig.cpp
+++ b/servers/trafficconfig.cpp
@@ -21,6 +21,16 @@
     return found == keys.end() ? nullptr : &accounts[found->second];
 }
 
+const TrafficAccount *TrafficConfig::findAccountByName(const std::string &name) const
+{
+    for (const TrafficAccount &account : accounts) {
+        if (account.name == name) {
+            return &account;
+        }
+    }
+    return nullptr;
+}
+
 std::string TrafficConfig::kvStoreAddress() const
 {
     for (const std::pair<const std::string, TrafficService> &entry : services) {
--- a/servers/trafficconfig.h
+++ b/servers/trafficconfig.h
@@ -100,6 +100,8 @@
     /** The account that holds @p key; nullptr when none does. */
     const TrafficAccount *findAccount(const std::string &key) const;
 
+    const TrafficAccount *findAccountByName(const std::string &name) const;
+
     /** The address of the first store of kept KV cache; empty when there is none. */
     std::string kvStoreAddress() const;
 };
