--- a/drivers/httplistener.cpp
+++ b/drivers/httplistener.cpp
@@ -284,8 +284,10 @@
     m_exchanges.erase(found);
     Connection &connection = m_connections.at(connectionId);
     connection.exchange = 0;
-    connection.socket->abortOnClose();
+    const std::shared_ptr<TcpSocket> socket(std::move(connection.socket));
+    socket->abortOnClose();
     m_connections.erase(connectionId);
+    m_loop.timers().subscribeOnce(Duration::zero(), [socket](TimePoint) {});
 }
 
 void HttpListener::drop(ConnectionId id)
@@ -298,6 +300,7 @@
     // The socket may be the caller of this function; it goes with the next round.
     std::shared_ptr<TcpSocket> socket(std::move(found->second.socket));
     m_connections.erase(found);
+    socket->close();
     m_loop.timers().subscribeOnce(Duration::zero(), [socket](TimePoint) {});
     if (exchange != 0) {
         m_exchanges.erase(exchange);
--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -279,6 +279,12 @@
     const std::shared_ptr<TcpSocket> socket(std::move(connection.socket));
     m_connections.erase(found);
     m_calls.erase(call);
+    if (call != 0 && end != HttpCallEnd::Complete) {
+        // A reset also takes back what has not reached the other side yet.
+        socket->abortOnClose();
+    } else {
+        socket->close();
+    }
     m_loop.timers().subscribeOnce(Duration::zero(), [socket](TimePoint) {});
     if (call != 0 && handlers.onEnd) {
         handlers.onEnd(end);
--- a/drivers/loop.cpp
+++ b/drivers/loop.cpp
@@ -82,6 +82,7 @@
             break;
         }
     }
+    m_isStopped = false;
 }
 
 void Loop::stop()
--- a/drivers/loop.h
+++ b/drivers/loop.h
@@ -63,7 +63,7 @@
     /** Whether the library could set up its context. */
     bool isOpen() const;
 
-    /** Runs until stop() is called. */
+    /** Runs until stop() is called; may be called again afterwards. */
     void run();
 
     /** Lets run() return after the current round. Safe to call from a signal handler. */
--- a/drivers/tcpsocket.cpp
+++ b/drivers/tcpsocket.cpp
@@ -163,8 +163,15 @@
     }
 }
 
+void TcpSocket::close()
+{
+    m_isEnded = true;
+    release(false);
+}
+
 void TcpSocket::abortOnClose()
 {
+    m_isEnded = true;
     if (m_descriptor >= 0) {
         const linger option{1, 0};
         setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
@@ -240,13 +247,16 @@
         }
     }
     flush();
-    if (m_output.empty() && m_handlers.onDrained) {
+    if (!m_isEnded && m_output.empty() && m_handlers.onDrained) {
         m_handlers.onDrained();
     }
 }
 
 void TcpSocket::handleEvent(lws_callback_reasons reason)
 {
+    if (m_isEnded) {
+        return;
+    }
     switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
         if (!m_isConnecting) {
--- a/drivers/tcpsocket.h
+++ b/drivers/tcpsocket.h
@@ -80,7 +80,10 @@
     void pauseReading();
     void resumeReading();
 
-    /** Closes with a reset when the socket is destroyed, so that no peer takes an answer for complete. */
+    /** Closes at once; no handler is called any more. */
+    void close();
+
+    /** Closes at once with a reset, so that no peer takes an answer for complete. */
     void abortOnClose();
 
     /** Called by the loop only. */
--- /dev/null
+++ b/tests/platform/endpointdecoder_test.cpp
@@ -0,0 +1,50 @@
+#include "platform/endpointdecoder.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace citronspar;
+using namespace citronspar::platform;
+
+namespace
+{
+
+nlohmann::json entry()
+{
+    return nlohmann::json::parse(
+        R"({"service":"pool","addr":"10.0.0.9:8080","zone":"a","version":"v1","slots":64,"state":"ready","coldLeftMs":0,
+        "stage":"colocated","models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1778159551252})");
+}
+
+}
+
+TEST_CASE("[EndpointDecoder] An endpoint's own entry is read")
+{
+    const std::optional<ListedEndpoint> endpoint = decodeListedEndpoint("i-1", entry().dump());
+    REQUIRE(endpoint.has_value());
+    CHECK(endpoint->id == "i-1");
+    CHECK(endpoint->address == "10.0.0.9:8080");
+    CHECK(endpoint->weightsVersion == 3);
+    CHECK(endpoint->startedMs == 1778159551252);
+    CHECK_FALSE(endpoint->isDraining);
+}
+
+TEST_CASE("[EndpointDecoder] Entries of other writers name no endpoint")
+{
+    for (const char *field : {"service", "addr", "zone", "slots", "state", "sequence"}) {
+        nlohmann::json missing = entry();
+        missing.erase(field);
+        CHECK_FALSE(decodeListedEndpoint("i-1", missing.dump()).has_value());
+        nlohmann::json other = entry();
+        other[field] = nlohmann::json::array({1});
+        CHECK_FALSE(decodeListedEndpoint("i-1", other.dump()).has_value());
+    }
+    nlohmann::json state = entry();
+    state["state"] = "resting";
+    CHECK_FALSE(decodeListedEndpoint("i-1", state.dump()).has_value());
+    nlohmann::json started = entry();
+    started["born"] = 1.5;
+    CHECK_FALSE(decodeListedEndpoint("i-1", started.dump()).has_value());
+    CHECK_FALSE(decodeListedEndpoint("i-1", "\xff\xfe").has_value());
+    CHECK_FALSE(decodeListedEndpoint("i-1", entry().dump().substr(0, 60)).has_value());
+}
--- /dev/null
+++ b/tests/platform/requestcodec_test.cpp
@@ -0,0 +1,96 @@
+#include "platform/requestcodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+using namespace citronspar::platform;
+
+namespace
+{
+
+HttpHead callerHead()
+{
+    HttpHead head;
+    head.method = "POST";
+    head.target = "/p/x?q=1";
+    head.fields = {{"Host", "one.example:80"},
+                   {"Citronspar-Request-Id", "9c41"},
+                   {"Citronspar-Model", "m"},
+                   {"Citronspar-Token-Counts", "1460,80"},
+                   {"Citronspar-Prompt-Prefix", "5c1e:800, 91bd:410"},
+                   {"Citronspar-Deadline-Ms", "6000"},
+                   {"authorization", "Bearer secret"},
+                   {"X-Custom", "kept"}};
+    return head;
+}
+
+}
+
+TEST_CASE("[RequestCodec] A caller's request is decoded once")
+{
+    const CallerRequest request = decodeCallerRequest(callerHead());
+    CHECK(request.id == "9c41");
+    CHECK(request.host == "one.example");
+    CHECK(request.path == "/p/x");
+    CHECK(request.key == "secret");
+    CHECK(request.deadline == std::chrono::seconds(6));
+    CHECK(request.promptTokens == 1460);
+    CHECK(request.maxOutputTokens == 80);
+    REQUIRE(request.parts.size() == 2);
+    CHECK(request.parts[1].id == "91bd");
+    CHECK(request.parts[1].tokens == 410);
+}
+
+TEST_CASE("[RequestCodec] Neither the key nor what only the system sets reaches an endpoint")
+{
+    HttpHead head = callerHead();
+    head.fields.emplace_back("citronspar-tenant", "another");
+    head.fields.emplace_back("Citronspar-Hold", "h1");
+    head.fields.emplace_back("Citronspar-Pin-Ms", "4000");
+    head.fields.emplace_back("Citronspar-Kv-Backup", "1.2.3.4:5");
+    head.fields.emplace_back("Kv-From", "1.2.3.4:5/h");
+    head.fields.emplace_back("Citronspar-Cache-Salt", "theirs");
+    head.fields.emplace_back("Connection", "close, X-Hop");
+    head.fields.emplace_back("X-Hop", "1");
+    ForwardTraits traits;
+    traits.hasDeadline = true;
+    traits.deadline = std::chrono::milliseconds(1234);
+    traits.instance = "i-1";
+    traits.account = "mine";
+    const HttpHead forwarded = forwardHead(head, traits);
+    for (const char *name : {"Authorization", "Citronspar-Hold", "Citronspar-Pin-Ms", "Citronspar-Kv-Backup", "Kv-From",
+                             "Citronspar-Cache-Salt", "Connection", "X-Hop"}) {
+        CHECK(forwarded.find(name) == nullptr);
+    }
+    CHECK(forwarded.value("Citronspar-Tenant") == "mine");
+    CHECK(forwarded.value("Citronspar-Deadline-Ms") == "1234");
+    CHECK(forwarded.value("Citronspar-Expect-Instance") == "i-1");
+    CHECK(forwarded.value("X-Custom") == "kept");
+    CHECK(forwarded.target == "/p/x?q=1");
+}
+
+TEST_CASE("[RequestCodec] Malformed headers of a caller are left out")
+{
+    HttpHead head = callerHead();
+    head.set("Citronspar-Deadline-Ms", "soon");
+    head.set("Citronspar-Token-Counts", "12");
+    head.set("Citronspar-Prompt-Prefix", "a:1,b");
+    head.set("Authorization", "Basic xyz");
+    const CallerRequest request = decodeCallerRequest(head);
+    CHECK_FALSE(request.deadline.has_value());
+    CHECK_FALSE(request.hasTokenCounts);
+    CHECK(request.parts.empty());
+    CHECK_FALSE(request.key.has_value());
+}
+
+TEST_CASE("[RequestCodec] Only a marked answer says that a request was not run")
+{
+    HttpHead head;
+    head.status = 503;
+    CHECK_FALSE(decodeEndpointAnswer(head).isNotRun);
+    head.set("Citronspar-Not-Run", "1");
+    CHECK(decodeEndpointAnswer(head).isNotRun);
+    HttpHead misdirected;
+    misdirected.status = 421;
+    CHECK(decodeEndpointAnswer(misdirected).isNotRun);
+}
--- /dev/null
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -0,0 +1,69 @@
+#include "servers/endpointdirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+
+namespace
+{
+
+constexpr Duration grace = std::chrono::seconds(2);
+const TimePoint start{std::chrono::seconds(100)};
+
+ListedEndpoint endpoint(const std::string &id, bool isDraining = false)
+{
+    ListedEndpoint result;
+    result.id = id;
+    result.service = "pool";
+    result.isDraining = isDraining;
+    return result;
+}
+
+}
+
+TEST_CASE("[EndpointDirectory] An endpoint that drains or has gone gets no work")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("a"));
+    directory.put(endpoint("b"));
+    CHECK(directory.available("pool").size() == 2);
+    directory.put(endpoint("a", true));
+    directory.remove("b", start);
+    CHECK(directory.available("pool").empty());
+    CHECK(directory.available("other").empty());
+}
+
+TEST_CASE("[EndpointDirectory] An entry that lapsed in an outage is kept until it had time to come back")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("returns"));
+    directory.put(endpoint("stays away"));
+    directory.noteOutage(start);
+    directory.replaceAll({}, start + std::chrono::milliseconds(100));
+    CHECK(directory.available("pool").size() == 2);
+    directory.put(endpoint("returns"));
+    CHECK_FALSE(directory.applyDueRemovals(start + std::chrono::seconds(1)));
+    CHECK(directory.applyDueRemovals(start + grace));
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->id == "returns");
+}
+
+TEST_CASE("[EndpointDirectory] One that had announced its leaving is not kept through an outage")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("a", true));
+    directory.noteOutage(start);
+    directory.remove("a", start);
+    CHECK(directory.all().empty());
+}
+
+TEST_CASE("[EndpointDirectory] The grace time starts with the end of the outage")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("a"));
+    directory.noteOutage(start);
+    directory.remove("a", start);
+    directory.noteOutage(start + std::chrono::seconds(3));
+    CHECK_FALSE(directory.applyDueRemovals(start + std::chrono::seconds(4)));
+    CHECK(directory.applyDueRemovals(start + std::chrono::seconds(5)));
+}
--- /dev/null
+++ b/tests/servers/weightsrollout_test.cpp
@@ -0,0 +1,167 @@
+#include "servers/weightsrollout.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace citronspar;
+
+namespace
+{
+
+using Step = WeightsRollout::Step;
+
+const TimePoint start{std::chrono::seconds(100)};
+constexpr Duration loadTime = std::chrono::milliseconds(570);
+constexpr Duration tick = std::chrono::milliseconds(50);
+
+std::vector<std::string> pool(int count)
+{
+    std::vector<std::string> ids;
+    for (int i = 0; i < count; ++i) {
+        ids.push_back("engine-" + std::to_string(100 + i));
+    }
+    return ids;
+}
+
+/** Daemons and engines of one pool in virtual time. */
+struct PoolRun
+{
+    struct Engine
+    {
+        WeightsRollout rollout{WeightsRollout::Settings()};
+        std::int64_t version = 1;
+        std::int64_t loading = 0;
+        TimePoint loadedAt{};
+    };
+
+    std::map<std::string, Engine> engines;
+    std::size_t mostAtOnce = 0;
+    std::size_t leastServing = 1000;
+    int loads = 0;
+
+    explicit PoolRun(int count)
+    {
+        for (const std::string &id : pool(count)) {
+            engines[id].rollout.report(1, false, start);
+        }
+    }
+
+    void name(std::int64_t version, TimePoint now)
+    {
+        std::vector<std::string> outdated;
+        for (const std::pair<const std::string, Engine> &entry : engines) {
+            if (entry.second.version < version) {
+                outdated.push_back(entry.first);
+            }
+        }
+        for (std::pair<const std::string, Engine> &entry : engines) {
+            entry.second.rollout.name(version, engines.size(), outdated, entry.first, now);
+        }
+    }
+
+    void stepAll(TimePoint now)
+    {
+        std::size_t loadingNow = 0;
+        std::size_t serving = 0;
+        for (std::pair<const std::string, Engine> &entry : engines) {
+            Engine &engine = entry.second;
+            if (engine.loading != 0 && now >= engine.loadedAt) {
+                engine.version = engine.loading;
+                engine.loading = 0;
+            }
+            engine.rollout.report(engine.version, engine.loading != 0, now);
+            if (engine.rollout.step(now) == Step::Order) {
+                engine.rollout.noteOrdered(now);
+                engine.loading = engine.rollout.wantedVersion();
+                engine.loadedAt = now + loadTime;
+                ++loads;
+            }
+            loadingNow += engine.loading != 0 ? 1 : 0;
+            serving += engine.rollout.isLoading(now) ? 0 : 1;
+        }
+        mostAtOnce = std::max(mostAtOnce, loadingNow);
+        leastServing = std::min(leastServing, serving);
+    }
+
+    bool allHave(std::int64_t version) const
+    {
+        for (const std::pair<const std::string, Engine> &entry : engines) {
+            if (entry.second.version < version) {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+}
+
+TEST_CASE("[WeightsRollout] A pool of any size has new weights within the deadline, few engines at a time")
+{
+    const int size = GENERATE(1, 2, 3, 7, 11, 12, 45, 52);
+    PoolRun run(size);
+    run.name(2, start);
+    TimePoint now = start;
+    while (!run.allHave(2) && now < start + std::chrono::seconds(20)) {
+        now += tick;
+        run.stepAll(now);
+    }
+    CHECK(now - start < std::chrono::milliseconds(6500));
+    // Engines load slower when more than a sixth of the pool does.
+    CHECK(run.mostAtOnce <= std::max<std::size_t>(2, (static_cast<std::size_t>(size) + 5) / 6));
+    CHECK(run.loads == size);
+    if (size >= 11) {
+        CHECK(run.leastServing >= static_cast<std::size_t>(size) / 2);
+    }
+}
+
+TEST_CASE("[WeightsRollout] Engines that missed a version are first with the next, and load once")
+{
+    PoolRun run(12);
+    run.name(2, start);
+    TimePoint now = start;
+    const TimePoint second = start + std::chrono::milliseconds(2000);
+    bool isSecondNamed = false;
+    std::vector<std::string> late;
+    while (!run.allHave(3) && now < start + std::chrono::seconds(20)) {
+        now += tick;
+        if (!isSecondNamed && now >= second) {
+            isSecondNamed = true;
+            run.name(3, now);
+        }
+        run.stepAll(now);
+    }
+    // Judged from the first naming: no engine may still have the first weights then.
+    CHECK(now - second < std::chrono::milliseconds(6500));
+    CHECK(run.loads < 24);
+}
+
+TEST_CASE("[WeightsRollout] After a restart only the engines with old weights take turns")
+{
+    WeightsRollout rollout{WeightsRollout::Settings()};
+    rollout.report(1, false, start);
+    rollout.name(4, 12, {"engine-111"}, "engine-111", start);
+    CHECK(rollout.step(start + std::chrono::milliseconds(400)) == Step::Order);
+}
+
+TEST_CASE("[WeightsRollout] An order without effect is given again")
+{
+    WeightsRollout rollout{WeightsRollout::Settings()};
+    rollout.report(1, false, start);
+    rollout.name(2, 1, {"a"}, "a", start);
+    TimePoint now = start + std::chrono::seconds(1);
+    REQUIRE(rollout.step(now) == Step::Order);
+    rollout.noteOrdered(now);
+    CHECK(rollout.isLoading(now));
+    CHECK(rollout.step(now + tick) == Step::Nothing);
+    now += std::chrono::seconds(2);
+    rollout.report(1, false, now);
+    CHECK(rollout.step(now) == Step::Order);
+    rollout.noteOrdered(now);
+    rollout.report(2, false, now + loadTime);
+    CHECK_FALSE(rollout.isLoading(now + loadTime));
+    CHECK(rollout.step(now + loadTime) == Step::Nothing);
+}
