Date the store's answers by its steady clock; make fewer store calls

Endpoint daemons now read the list once a rollout, entry daemons merge changes for 0.2 s, and StoreClock bounds when an answer was made. In an outage questions do not wait at the store, so its return is seen soon.

Ruled out: shorter waits (more calls for the same proof).

--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -58,6 +58,12 @@
         m_subscribers.erase(link);
     });
     m_operators.onWeights([this](const std::string &, std::int64_t) {
+        // The turns of a rollout follow from the list as it is now.
+        m_isListNew = false;
+        m_endpoints.readOnce();
+    });
+    m_endpoints.onChange([this]() {
+        m_isListNew = true;
         nameWeights();
     });
 }
@@ -65,7 +71,7 @@
 bool CompanionRole::open()
 {
     m_operators.start();
-    m_endpoints.start();
+    m_endpoints.readOnce();
     acquireFence();
     askEngine();
     m_core.timers().subscribe(tickPeriod, [this](TimePoint now) {
@@ -159,7 +165,7 @@
 void CompanionRole::nameWeights()
 {
     const ListedEndpoint *own = ownEntry();
-    if (!m_report.has_value()) {
+    if (!m_report.has_value() || !m_isListNew) {
         return;
     }
     const OperatorFeed::NamedWeightsState named = m_operators.namedWeights(m_report->model);
--- a/main/companion/companionrole.h
+++ b/main/companion/companionrole.h
@@ -40,6 +40,8 @@
     bool m_isAnswering = false;
     bool m_isAsking = false;
     bool m_isOrdering = false;
+    /** The list of endpoints was read since weights were last named. */
+    bool m_isListNew = false;
     /** The fencing token of this incarnation; 0 until the store has given one. */
     std::int64_t m_fence = 0;
     std::set<PeerNetwork::LinkId> m_subscribers;
--- a/main/feeds/endpointfeed.cpp
+++ b/main/feeds/endpointfeed.cpp
@@ -101,6 +101,11 @@
     changed();
 }
 
+void EndpointFeed::readOnce()
+{
+    m_feed.readOnce();
+}
+
 const EndpointDirectory &EndpointFeed::directory() const
 {
     return m_directory;
--- a/main/feeds/endpointfeed.h
+++ b/main/feeds/endpointfeed.h
@@ -32,8 +32,12 @@
 
     /** Called when an endpoint came, changed or left. */
     void onChange(ChangeHandler handler);
+    /** Follows the list. */
     void start();
 
+    /** Reads the list once. */
+    void readOnce();
+
     const EndpointDirectory &directory() const;
 
     /** Whether the list was read at least once. */
--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -17,8 +17,8 @@
                                  [this](const std::vector<platform::StoreRow> &rows) {
                                      take(rows);
                                  },
-                                 [this](TimePoint askedAt) {
-                                     m_confirmedAt = std::max(m_confirmedAt, askedAt);
+                                 [this](TimePoint madeAt) {
+                                     m_confirmedAt = std::max(m_confirmedAt, madeAt);
                                  },
                                  [](TimePoint) {}})
 {
--- a/main/feeds/operatorfeed.h
+++ b/main/feeds/operatorfeed.h
@@ -51,7 +51,7 @@
     /** The weights named for @p model; version 0 when none are. */
     NamedWeightsState namedWeights(const std::string &model) const;
 
-    /** When the question left to which the store last answered; timeNever before the first. */
+    /** The earliest time at which the store can have made its last answer; timeNever before the first. */
     TimePoint confirmedAt() const;
 };
 
--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -14,6 +14,8 @@
 constexpr Duration firstPause = std::chrono::milliseconds(150);
 constexpr Duration longestPause = std::chrono::milliseconds(700);
 
+constexpr Duration pauseAfterChanges = std::chrono::milliseconds(200);
+
 const char *failureName(platform::StoreFailure failure)
 {
     switch (failure) {
@@ -43,6 +45,17 @@
 
 void StoreFeed::start()
 {
+    m_isFollowing = true;
+    ask(std::string());
+}
+
+void StoreFeed::readOnce()
+{
+    if (m_isReading) {
+        return;
+    }
+    m_isReading = true;
+    m_hasSnapshot = false;
     ask(std::string());
 }
 
@@ -50,7 +63,12 @@
 {
     const TimePoint askedAt = Loop::now();
     if (m_hasSnapshot) {
-        m_store.feed(m_table, m_version, m_wait, [this, askedAt](const platform::StoreReply &reply) {
+        // In an outage a question does not wait at the store, so that the first answer after it comes soon.
+        const bool isShort = m_isOut || m_clock.needsShortExchange(askedAt);
+        if (isShort) {
+            m_clock.noteShortExchange(askedAt);
+        }
+        m_store.feed(m_table, m_version, isShort ? Duration::zero() : m_wait, [this, askedAt](const platform::StoreReply &reply) {
             takeChanges(reply, askedAt);
         });
         return;
@@ -79,7 +97,7 @@
     const std::vector<platform::StoreRow> rows = std::move(m_pages);
     m_pages.clear();
     m_handlers.onSnapshot(rows);
-    succeed(askedAt);
+    succeed(reply, askedAt, false);
 }
 
 void StoreFeed::takeChanges(const platform::StoreReply &reply, TimePoint askedAt)
@@ -98,18 +116,25 @@
     if (!reply.rows.rows.empty()) {
         m_handlers.onChanges(reply.rows.rows);
     }
-    succeed(askedAt);
+    succeed(reply, askedAt, !reply.rows.rows.empty());
 }
 
-void StoreFeed::succeed(TimePoint askedAt)
+void StoreFeed::succeed(const platform::StoreReply &reply, TimePoint askedAt, bool hadChanges)
 {
     if (m_isOut) {
         m_isOut = false;
         m_log.write("store", "answers again", {{"table", m_table}});
     }
     m_pause = Duration::zero();
-    m_handlers.onConfirmed(askedAt);
-    ask(std::string());
+    m_isReading = false;
+    m_handlers.onConfirmed(reply.rows.storeTime.has_value() ? m_clock.answeredAt(askedAt, Loop::now(), *reply.rows.storeTime) : askedAt);
+    if (!m_isFollowing) {
+        return;
+    }
+    // Changes often come in rows; a short pause takes in several with one call.
+    m_loop.timers().subscribeOnce(hadChanges ? pauseAfterChanges : Duration::zero(), [this](TimePoint) {
+        ask(std::string());
+    });
 }
 
 void StoreFeed::fail(const platform::StoreReply &reply)
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -3,6 +3,7 @@
 #include "drivers/decisionlog.h"
 #include "drivers/loop.h"
 #include "platform/storeclient.h"
+#include "servers/storeclock.h"
 
 #include <cstdint>
 #include <functional>
@@ -25,8 +26,8 @@
         std::function<void(const std::vector<platform::StoreRow> &rows)> onSnapshot;
         /** Rows that changed. */
         std::function<void(const std::vector<platform::StoreRow> &rows)> onChanges;
-        /** The store answered a question that left at @p askedAt; all that it told is taken in. */
-        std::function<void(TimePoint askedAt)> onConfirmed;
+        /** The store made its last answer at @p madeAt or later; all that it told is taken in. */
+        std::function<void(TimePoint madeAt)> onConfirmed;
         /** The store did not answer. */
         std::function<void(TimePoint now)> onOutage;
     };
@@ -41,20 +42,27 @@
     std::int64_t m_version = 0;
     bool m_hasSnapshot = false;
     bool m_isOut = false;
+    bool m_isFollowing = false;
+    bool m_isReading = false;
     Duration m_pause{};
     std::vector<platform::StoreRow> m_pages;
+    StoreClock m_clock;
 
     void ask(const std::string &from);
     void takeSnapshot(const platform::StoreReply &reply, TimePoint askedAt);
     void takeChanges(const platform::StoreReply &reply, TimePoint askedAt);
     void fail(const platform::StoreReply &reply);
-    void succeed(TimePoint askedAt);
+    void succeed(const platform::StoreReply &reply, TimePoint askedAt, bool hadChanges);
 
 public:
     /** @param wait how long a question waits at the store for a change */
     StoreFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, std::string table, Duration wait, Handlers handlers);
 
+    /** Reads the table and follows it from then on. */
     void start();
+
+    /** Reads the table once, again until the store answers. Not for a feed that was started. */
+    void readOnce();
 };
 
 }
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -12,8 +12,8 @@
 
 // A question waits this long at the store. It bounds the age of what is known
 // of keys, so it is well below the time in which a withdrawn key must stop.
-constexpr Duration operatorWait = std::chrono::milliseconds(1200);
-constexpr Duration endpointWait = std::chrono::milliseconds(3000);
+constexpr Duration operatorWait = std::chrono::milliseconds(1250);
+constexpr Duration endpointWait = std::chrono::milliseconds(4000);
 
 constexpr Duration idleCheckPeriod = std::chrono::milliseconds(200);
 
--- a/servers/keyfreshness.h
+++ b/servers/keyfreshness.h
@@ -27,7 +27,7 @@
     {
     }
 
-    /** @param confirmedAt when the question left to which the store last answered */
+    /** @param confirmedAt the earliest time at which the store can have made its last answer */
     bool mayRun(TimePoint confirmedAt, TimePoint now) const
     {
         return confirmedAt != timeNever && now - confirmedAt < std::max(m_revocation - sendMargin, Duration::zero());
