--- a/main/proxy/enginelinks.cpp
+++ b/main/proxy/enginelinks.cpp
@@ -32,6 +32,13 @@
             takeState(body.engineState);
         }
     });
+    m_endpoints.onChange([this]() {
+        const std::set<std::string> addresses = daemonAddresses();
+        if (addresses != m_linked) {
+            m_linked = addresses;
+            keepLinks();
+        }
+    });
     m_core.timers().subscribe(linkCheckPeriod, [this](TimePoint) {
         keepLinks();
     });
--- a/main/proxy/enginelinks.h
+++ b/main/proxy/enginelinks.h
@@ -26,6 +26,8 @@
     QuotaGate &m_quotas;
     DecisionLog &m_log;
     int m_peerPort;
+    /** The addresses to which links were opened last. */
+    std::set<std::string> m_linked;
     /** The newest state by the address of the engine. */
     std::map<std::string, wire::EngineState> m_states;
 
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -14,6 +14,8 @@
 
 // An endpoint that turned a request away is left alone for this long.
 constexpr Duration avoidAfterRefusal = std::chrono::milliseconds(150);
+// Another incarnation has the address; the entry goes from the list within some heartbeats.
+constexpr Duration avoidAfterOtherInstance = std::chrono::seconds(10);
 constexpr Duration avoidAfterNoConnection = std::chrono::milliseconds(600);
 
 // A repeat of a request that may not run twice goes out on a connection that
@@ -311,7 +313,7 @@
                           {"config", std::to_string(m_config->version)},
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(choice->weightsVersion)},
-                          {"home", choice->isHome ? "yes" : "no"},
+                          {"home", choice->isHome ? "yes" : "no"}, {"predictedMs", std::to_string(static_cast<int>(choice->costMs))},
                           {"try", std::to_string(m_ledger->tries())}});
 }
 
@@ -369,7 +371,8 @@
         return;
     }
     if (!m_isForwarding) {
-        m_services.metrics.sample("first event", Loop::now() - m_incoming.arrived);
+        m_firstEventAfter = Loop::now() - m_incoming.arrived;
+        m_services.metrics.sample("first event", m_firstEventAfter);
         startForwarding();
     }
     m_services.listener.write(m_exchange, whole);
@@ -400,7 +403,8 @@
         return;
     }
     if (m_answer.isNotRun) {
-        placement().avoid(endpoint, Loop::now(), avoidAfterRefusal);
+        const bool isOtherInstance = m_answer.isMisdirected && !m_answer.instance.empty() && m_answer.instance != endpoint;
+        placement().avoid(endpoint, Loop::now(), isOtherInstance ? avoidAfterOtherInstance : avoidAfterRefusal);
         takeNotRun();
         return;
     }
@@ -519,7 +523,7 @@
                           {"endpoint", m_excluded.empty() ? "" : m_excluded.back()},
                           {"status", std::to_string(m_answer.status)},
                           {"tries", std::to_string(m_excluded.size())},
-                          {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
+                          {"firstEventMs", millisecondsText(m_firstEventAfter)}, {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
                           {"configAgeMs", millisecondsText(proofAge)}});
 }
 
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -47,6 +47,7 @@
     std::vector<std::string> m_excluded;
     bool m_hasFirstToken = false;
     TimePoint m_sentAt{};
+    Duration m_firstEventAfter{};
 
     HttpHead m_answerHead;
     platform::EndpointAnswer m_answer;
--- a/servers/endpointdirectory.cpp
+++ b/servers/endpointdirectory.cpp
@@ -1,5 +1,6 @@
 #include "servers/endpointdirectory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -81,10 +82,17 @@
 
 std::vector<const ListedEndpoint *> EndpointDirectory::available(const std::string &service) const
 {
+    // Of the entries with one address only that of the newest start can be alive.
+    std::map<std::string, std::int64_t> newestStart;
+    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
+        std::int64_t &newest = newestStart[entry.second.address];
+        newest = std::max(newest, entry.second.startedMs);
+    }
     std::vector<const ListedEndpoint *> result;
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
-        if (entry.second.service == service && !entry.second.isDraining) {
-            result.push_back(&entry.second);
+        const ListedEndpoint &endpoint = entry.second;
+        if (endpoint.service == service && !endpoint.isDraining && endpoint.startedMs == newestStart[endpoint.address]) {
+            result.push_back(&endpoint);
         }
     }
     return result;
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -84,7 +84,7 @@
         const double candidateCost = cost(engine, prompt, isHome, isOld, now);
         const std::uint64_t weight = hashBytes(candidate.id, prompt.sharedHash);
         if (!best.has_value() || candidateCost < bestCost || (candidateCost == bestCost && weight > bestWeight)) {
-            best = Choice{candidate.id, version, isHome};
+            best = Choice{candidate.id, version, isHome, candidateCost};
             bestCost = candidateCost;
             bestWeight = weight;
         }
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -72,6 +72,8 @@
         std::int64_t weightsVersion = 0;
         /** Whether it is the home of the shared prefix. */
         bool isHome = false;
+        /** The predicted time to the first token, with what is to be avoided counted as time. */
+        double costMs = 0;
     };
 
 private:
--- a/servers/quotaholder.cpp
+++ b/servers/quotaholder.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+// A holder that has just started knows nothing of what the one before granted.
+// It begins with this part of the tolerated slack, so that first requests pass.
+constexpr double startPartOfSlack = 0.1;
+
 constexpr double heldPart = 1 - QuotaGate::evenPart;
 
 }
@@ -21,7 +25,8 @@
 QuotaHolder::Answer QuotaHolder::reserve(const TrafficAccount &account, double cost, TimePoint now)
 {
     const double rate = usableRate(account, m_tolerance) * heldPart;
-    const auto inserted = m_buckets.emplace(account.name, Bucket{0, m_startedAt});
+    const double startLevel = std::min(account.burst * heldPart, m_tolerance.slack * startPartOfSlack);
+    const auto inserted = m_buckets.emplace(account.name, Bucket{startLevel, m_startedAt});
     Bucket &bucket = inserted.first->second;
     const double seconds = std::max(0.0, toSeconds(now - bucket.filledAt));
     bucket.level = std::min(account.burst * heldPart, bucket.level + seconds * rate);
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -13,8 +13,8 @@
 /**
  * Holds the part of client accounts' rates that entry daemons ask for. It
  * keeps nothing that must last: what is granted is used at once, so a holder
- * that has just started begins with an empty bucket and is never above one
- * that had served all along.
+ * that has just started begins with a nearly empty bucket; the tolerance covers
+ * what that gives beyond a holder that had served all along.
  */
 class QuotaHolder
 {
--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -67,3 +67,18 @@
     CHECK_FALSE(directory.applyDueRemovals(start + std::chrono::seconds(4)));
     CHECK(directory.applyDueRemovals(start + std::chrono::seconds(5)));
 }
+
+TEST_CASE("[EndpointDirectory] Of two incarnations at one address only the newer one gets work")
+{
+    EndpointDirectory directory(grace);
+    ListedEndpoint old = endpoint("old");
+    old.address = "10.0.0.1:80";
+    old.startedMs = 1000;
+    ListedEndpoint restarted = endpoint("a restarted one");
+    restarted.address = old.address;
+    restarted.startedMs = 2000;
+    directory.put(restarted);
+    directory.put(old);
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->id == restarted.id);
+}
