--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -17,7 +17,7 @@
 constexpr Duration feedWait = std::chrono::seconds(20);
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
-constexpr Duration reportPeriod = std::chrono::milliseconds(200);
+constexpr Duration reportPeriod = std::chrono::milliseconds(100);
 constexpr Duration reportTimeout = std::chrono::milliseconds(500);
 constexpr Duration orderTimeout = std::chrono::milliseconds(800);
 constexpr Duration fenceRetry = std::chrono::milliseconds(500);
@@ -34,7 +34,10 @@
 constexpr std::chrono::milliseconds unknownAccountWait = std::chrono::milliseconds(500);
 
 // Load is told when it has changed by this many requests.
-constexpr std::int64_t toldLoadStep = 2;
+constexpr std::int64_t toldLoadStep = 4;
+
+// The same for requests that wait or are being read, on which the time to the first token depends.
+constexpr std::int64_t toldQueueStep = 1;
 
 }
 
@@ -267,6 +270,7 @@
         state.weightsVersion = m_report->weightsVersion;
         state.running = m_report->running;
         state.waiting = m_report->waiting;
+        state.prefilling = std::max<std::int64_t>(0, m_report->running - m_report->producing);
         state.usedTokens = m_report->usedTokens;
         state.totalTokens = m_report->totalTokens;
     }
--- a/main/proxy/enginelinks.cpp
+++ b/main/proxy/enginelinks.cpp
@@ -101,7 +101,7 @@
     view.isLoading = state.isLoading;
     view.isAnswering = state.isAnswering;
     view.running = state.running;
-    view.waiting = state.waiting;
+    view.waiting = state.waiting + state.prefilling;
     view.toldAt = Loop::now();
     m_engines.setView(endpoint.id, view);
 }
--- a/main/proxy/kvstorewatch.cpp
+++ b/main/proxy/kvstorewatch.cpp
@@ -43,7 +43,8 @@
 void KvStoreWatch::ask()
 {
     const std::shared_ptr<const TrafficConfig> config = m_operators.config();
-    m_source = config == nullptr ? std::string() : config->kvStoreAddress();
+    const TrafficService *store = config == nullptr ? nullptr : config->kvStore();
+    m_source = store == nullptr ? std::string() : store->kvStoreAddress;
     if (m_source.empty()) {
         askAfter(pauseWithoutStore);
         return;
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -32,6 +32,15 @@
 // The endpoint is slowed down while the caller has this much to take.
 constexpr std::size_t maxCallerBacklog = 256 * 1024;
 
+// Shorter shared prefixes are read sooner than a transfer starts.
+constexpr std::int64_t minTransferTokens = 1000;
+
+// Fetching is worth while when it starts before the engine would have read the prefix.
+constexpr Duration maxFetchBacklog = std::chrono::milliseconds(400);
+
+// Saves make way for fetches.
+constexpr Duration maxSaveBacklog = std::chrono::milliseconds(300);
+
 constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
 constexpr std::uint64_t retryAfterSpreadMicroseconds = 350000;
 
@@ -212,6 +221,35 @@
     return parts;
 }
 
+std::uint64_t ProxyCall::residentKey(const std::string &salt) const
+{
+    return hashCombine(m_prompt.sharedHash, hashBytes(salt, prefixSeed));
+}
+
+void ProxyCall::planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const
+{
+    const TrafficService *store = m_config->kvStore();
+    const auto service = m_config->services.find(m_service);
+    const TimePoint now = Loop::now();
+    const std::string &salt = traits.cacheSalt;
+    if (store == nullptr || service == m_config->services.end() || m_prompt.sharedTokens < minTransferTokens || !m_services.storedPrefixes.isReachable()) {
+        return;
+    }
+    m_services.kvLink.setLink(store->kvLinkBytesPerSecond, m_services.quotas.daemons());
+    const std::vector<std::string> parts = sharedParts();
+    const double bytesPerToken = service->second.bytesPerToken;
+    const double sharedBytes = static_cast<double>(m_prompt.sharedTokens) * bytesPerToken;
+    const bool isResident = m_services.residents.isResident(choice.id, residentKey(salt), now);
+    if (!isResident && m_services.kvLink.backlog(now) < maxFetchBacklog) {
+        traits.fetchFrom = store->kvStoreAddress;
+        m_services.kvLink.add(m_services.storedPrefixes.holdsAll(salt, parts, now) ? sharedBytes : 0, now);
+    }
+    if (m_services.storedPrefixes.shouldSave(salt, parts, now) && m_services.kvLink.backlog(now) < maxSaveBacklog) {
+        traits.saveTo = store->kvStoreAddress;
+        m_services.kvLink.add(sharedBytes + static_cast<double>(m_prompt.ownTokens) * bytesPerToken, now);
+    }
+}
+
 platform::ForwardTraits ProxyCall::traitsFor(const EndpointPlacement::Choice &choice) const
 {
     const TimePoint now = Loop::now();
@@ -233,13 +271,7 @@
     traits.priority = std::clamp(traits.priority, 0, 9);
     traits.cacheSalt = cacheSalt(choice.weightsVersion);
     traits.weightsVersion = choice.weightsVersion;
-    const std::string store = m_config->kvStoreAddress();
-    if (m_prompt.sharedTokens > 0 && !store.empty() && m_services.storedPrefixes.isReachable()) {
-        traits.fetchFrom = store;
-        if (m_services.storedPrefixes.shouldSave(traits.cacheSalt, sharedParts(), now)) {
-            traits.saveTo = store;
-        }
-    }
+    planTransfers(choice, traits);
     if (m_events.hasEvents()) {
         traits.lastEventId = m_events.lastId();
     }
@@ -291,6 +323,7 @@
     if (!traits.saveTo.empty()) {
         m_services.storedPrefixes.noteSaving(traits.cacheSalt, sharedParts(), Loop::now());
     }
+    m_cacheSalt = traits.cacheSalt;
     call.head = platform::forwardHead(m_incoming.head, traits);
     call.body = m_incoming.body;
     call.echoHeader = platform::echoedHeader();
@@ -321,6 +354,9 @@
 {
     if (!m_hasFirstToken) {
         m_hasFirstToken = true;
+        if (m_isEngineService && m_answer.isSigned && m_answer.status < serverError) {
+            m_services.residents.noteRead(m_endpoint, residentKey(m_cacheSalt), Loop::now());
+        }
         placement().noteFirstToken(m_endpoint, expectedTokens());
     }
 }
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -46,6 +46,7 @@
     std::string m_endpoint;
     std::vector<std::string> m_excluded;
     bool m_hasFirstToken = false;
+    std::string m_cacheSalt;
     TimePoint m_sentAt{};
     Duration m_firstEventAfter{};
 
@@ -68,6 +69,8 @@
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
     std::string cacheSalt(std::int64_t weightsVersion) const;
     std::vector<std::string> sharedParts() const;
+    std::uint64_t residentKey(const std::string &salt) const;
+    void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
     std::int64_t expectedTokens() const;
 
     void takeHead(const HttpHead &head, std::int64_t length);
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -32,6 +32,8 @@
     EndpointPlacement m_plain;
     StoredPrefixes m_storedPrefixes;
     KvStoreWatch m_kvStoreWatch;
+    EngineResidents m_residents;
+    KvLinkBudget m_kvLink;
     RetryBudget m_retries;
     KeyFreshness m_freshness;
     QuotaGate m_quotas;
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -8,7 +8,9 @@
 #include "main/proxy/enginelinks.h"
 #include "main/proxy/quotaclient.h"
 #include "servers/endpointplacement.h"
+#include "servers/engineresidents.h"
 #include "servers/keyfreshness.h"
+#include "servers/kvlinkbudget.h"
 #include "servers/quotagate.h"
 #include "servers/retrybudget.h"
 #include "servers/storedprefixes.h"
@@ -29,6 +31,8 @@
     EndpointPlacement &engines;
     EndpointPlacement &plain;
     StoredPrefixes &storedPrefixes;
+    EngineResidents &residents;
+    KvLinkBudget &kvLink;
     RetryBudget &retries;
     KeyFreshness &freshness;
     QuotaGate &quotas;
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -3037,6 +3037,10 @@
 void EngineState::__set_entryDaemons(const int32_t val) {
   this->entryDaemons = val;
 }
+
+void EngineState::__set_prefilling(const int64_t val) {
+  this->prefilling = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineState& obj)
 {
   obj.printTo(out);
@@ -3145,6 +3149,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefilling);
+          this->__isset.prefilling = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3202,6 +3214,10 @@
   xfer += oprot->writeI32(this->entryDaemons);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("prefilling", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->prefilling);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3219,6 +3235,7 @@
   swap(a.totalTokens, b.totalTokens);
   swap(a.address, b.address);
   swap(a.entryDaemons, b.entryDaemons);
+  swap(a.prefilling, b.prefilling);
   swap(a.__isset, b.__isset);
 }
 
@@ -3233,6 +3250,7 @@
   totalTokens = other58.totalTokens;
   address = other58.address;
   entryDaemons = other58.entryDaemons;
+  prefilling = other58.prefilling;
   __isset = other58.__isset;
 }
 EngineState& EngineState::operator=(const EngineState& other59) {
@@ -3246,6 +3264,7 @@
   totalTokens = other59.totalTokens;
   address = other59.address;
   entryDaemons = other59.entryDaemons;
+  prefilling = other59.prefilling;
   __isset = other59.__isset;
   return *this;
 }
@@ -3262,6 +3281,7 @@
   out << ", " << "totalTokens=" << to_string(totalTokens);
   out << ", " << "address=" << to_string(address);
   out << ", " << "entryDaemons=" << to_string(entryDaemons);
+  out << ", " << "prefilling=" << to_string(prefilling);
   out << ")";
 }
 
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -1328,7 +1328,7 @@
 std::ostream& operator<<(std::ostream& out, const TimelineAnswer& obj);
 
 typedef struct _EngineState__isset {
-  _EngineState__isset() : startedMs(false), isAnswering(false), weightsVersion(false), isLoading(false), running(false), waiting(false), usedTokens(false), totalTokens(false), address(false), entryDaemons(false) {}
+  _EngineState__isset() : startedMs(false), isAnswering(false), weightsVersion(false), isLoading(false), running(false), waiting(false), usedTokens(false), totalTokens(false), address(false), entryDaemons(false), prefilling(false) {}
   bool startedMs :1;
   bool isAnswering :1;
   bool weightsVersion :1;
@@ -1339,6 +1339,7 @@
   bool totalTokens :1;
   bool address :1;
   bool entryDaemons :1;
+  bool prefilling :1;
 } _EngineState__isset;
 
 /**
@@ -1359,7 +1360,8 @@
                 usedTokens(0),
                 totalTokens(0),
                 address(),
-                entryDaemons(0) {
+                entryDaemons(0),
+                prefilling(0) {
   }
 
   virtual ~EngineState() noexcept;
@@ -1385,6 +1387,10 @@
    * The entry daemons that this daemon heard of lately.
    */
   int32_t entryDaemons;
+  /**
+   * Requests that run but have produced nothing yet.
+   */
+  int64_t prefilling;
 
   _EngineState__isset __isset;
 
@@ -1408,6 +1414,8 @@
 
   void __set_entryDaemons(const int32_t val);
 
+  void __set_prefilling(const int64_t val);
+
   bool operator == (const EngineState & rhs) const
   {
     if (!(startedMs == rhs.startedMs))
@@ -1430,6 +1438,8 @@
       return false;
     if (!(entryDaemons == rhs.entryDaemons))
       return false;
+    if (!(prefilling == rhs.prefilling))
+      return false;
     return true;
   }
   bool operator != (const EngineState &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -159,6 +159,8 @@
   9: string address
   /** The entry daemons that this daemon heard of lately. */
   10: i32 entryDaemons
+  /** Requests that run but have produced nothing yet. */
+  11: i64 prefilling
 }
 
 /** Sent regularly by each entry daemon to the daemons beside the engines, which tell it their state in return. */
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -18,6 +18,7 @@
     bool isLoading = false;
     bool isAnswering = true;
     std::int64_t running = 0;
+    /** Requests without a first token: those that wait and those being read. */
     std::int64_t waiting = 0;
     /** When this was told; timeNever when nothing was. */
     TimePoint toldAt = timeNever;
@@ -47,8 +48,8 @@
         double prefillTokensPerMs = 40;
         /** Milliseconds that one running request adds to the others' first token. */
         double runningCostMs = 1;
-        /** Milliseconds that one request of another daemon that waits adds. */
-        double waitingCostMs = 40;
+        /** Milliseconds that one request of another daemon without a first token adds. */
+        double waitingCostMs = 60;
         /** Milliseconds that weights older than the named ones are worth avoiding. */
         double oldWeightsCostMs = 100;
         /** Milliseconds for each recent failure. */
--- a/servers/quotagate.cpp
+++ b/servers/quotagate.cpp
@@ -84,4 +84,9 @@
     m_daemons = std::max(count, 1);
 }
 
+int QuotaGate::daemons() const
+{
+    return m_daemons;
+}
+
 }
--- a/servers/quotagate.h
+++ b/servers/quotagate.h
@@ -66,6 +66,7 @@
 
     /** The number of entry daemons. */
     void setDaemons(int count);
+    int daemons() const;
 };
 
 }
--- a/servers/storedprefixes.cpp
+++ b/servers/storedprefixes.cpp
@@ -60,11 +60,16 @@
     return found != m_parts.end() && now < found->second.until;
 }
 
+bool StoredPrefixes::holdsAll(const std::string &salt, const std::vector<std::string> &parts, TimePoint now) const
+{
+    return std::all_of(parts.begin(), parts.end(), [&](const std::string &part) {
+        return holds(salt, part, now);
+    });
+}
+
 bool StoredPrefixes::shouldSave(const std::string &salt, const std::vector<std::string> &parts, TimePoint now) const
 {
-    return m_isReachable && std::any_of(parts.begin(), parts.end(), [&](const std::string &part) {
-               return !holds(salt, part, now);
-           });
+    return m_isReachable && !holdsAll(salt, parts, now);
 }
 
 void StoredPrefixes::sweep(TimePoint now)
--- a/servers/storedprefixes.h
+++ b/servers/storedprefixes.h
@@ -62,6 +62,9 @@
     /** A request goes out that saves these parts. */
     void noteSaving(const std::string &salt, const std::vector<std::string> &parts, TimePoint now);
 
+    /** Whether the store holds all of these parts, as far as is known. */
+    bool holdsAll(const std::string &salt, const std::vector<std::string> &parts, TimePoint now) const;
+
     /** Whether a request with these shared parts should be saved. */
     bool shouldSave(const std::string &salt, const std::vector<std::string> &parts, TimePoint now) const;
 };
--- a/servers/trafficconfig.cpp
+++ b/servers/trafficconfig.cpp
@@ -31,14 +31,14 @@
     return nullptr;
 }
 
-std::string TrafficConfig::kvStoreAddress() const
+const TrafficService *TrafficConfig::kvStore() const
 {
     for (const std::pair<const std::string, TrafficService> &entry : services) {
         if (!entry.second.kvStoreAddress.empty()) {
-            return entry.second.kvStoreAddress;
+            return &entry.second;
         }
     }
-    return std::string();
+    return nullptr;
 }
 
 const std::string &chooseService(const TrafficRoute &route, std::uint64_t requestHash)
--- a/servers/trafficconfig.h
+++ b/servers/trafficconfig.h
@@ -54,6 +54,10 @@
     /** Whether its endpoints are model engines. */
     bool isEngine = false;
     std::int64_t engineTokens = 0;
+    /** The size of one token's KV cache. */
+    double bytesPerToken = 0;
+    /** The link over which KV cache is moved. */
+    double kvLinkBytesPerSecond = 0;
     /** The address of a store of kept KV cache; empty for a pool. */
     std::string kvStoreAddress;
 };
@@ -102,8 +106,8 @@
 
     const TrafficAccount *findAccountByName(const std::string &name) const;
 
-    /** The address of the first store of kept KV cache; empty when there is none. */
-    std::string kvStoreAddress() const;
+    /** The first store of kept KV cache; nullptr when there is none. */
+    const TrafficService *kvStore() const;
 };
 
 /** The service of @p route for a request with @p requestHash, by the weights of the split. */
--- a/tests/platform/configdecoder_test.cpp
+++ b/tests/platform/configdecoder_test.cpp
@@ -14,7 +14,7 @@
  {"name":"r","host":"h","prefix":"/r/","routeKind":"stream","service":"pool","maxAttempts":2,"sticky":true,"resumable":true},
  {"name":"o","host":"h","prefix":"/o/","routeKind":"non_idempotent","service":"app","public":true}],
  "services":[{"name":"pool","healthPath":"/health","maxConns":370,"engine":{"slots":64,"kvCapacityTokens":116035}},
-  {"name":"app","healthPath":"/health"},{"name":"vault","kvStoreAddr":"172.20.0.2:8604","zone":"z"}],
+  {"name":"app","healthPath":"/health"},{"name":"vault","kvStoreAddr":"172.20.0.2:8604","zone":"z","linkMbps":560000.0}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"isolated":true,"ratePerS":100,"burst":50}]})";
 
@@ -36,7 +36,9 @@
     CHECK(config->routes[1].isResumable);
     CHECK_FALSE(config->routes[2].needsKey);
     CHECK(config->services.at("pool").isEngine);
-    CHECK(config->kvStoreAddress() == "172.20.0.2:8604");
+    REQUIRE(config->kvStore() != nullptr);
+    CHECK(config->kvStore()->kvStoreAddress == "172.20.0.2:8604");
+    CHECK(config->kvStore()->kvLinkBytesPerSecond == 7e10);
     const TrafficAccount *account = config->findAccount("k2");
     REQUIRE(account != nullptr);
     CHECK(account->isIsolated);
