--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -39,7 +39,7 @@
 constexpr Duration maxFetchBacklog = std::chrono::milliseconds(400);
 
 // Saves make way for fetches.
-constexpr Duration maxSaveBacklog = std::chrono::milliseconds(300);
+constexpr Duration maxSaveBacklog = std::chrono::milliseconds(120);
 
 constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
 constexpr std::uint64_t retryAfterSpreadMicroseconds = 350000;
@@ -240,7 +240,11 @@
     const double bytesPerToken = service->second.bytesPerToken;
     const double sharedBytes = static_cast<double>(m_prompt.sharedTokens) * bytesPerToken;
     const bool isResident = m_services.residents.isResident(choice.id, residentKey(salt), now);
-    if (!isResident && m_services.kvLink.backlog(now) < maxFetchBacklog) {
+    const ListedEndpoint *home = m_services.endpoints.directory().find(choice.homeWithSameWeights);
+    const bool homeHasIt = home != nullptr && m_services.residents.isResident(home->id, residentKey(salt), now);
+    if (!isResident && homeHasIt) {
+        traits.fetchFrom = home->address;
+    } else if (!isResident && m_services.kvLink.backlog(now) < maxFetchBacklog) {
         traits.fetchFrom = store->kvStoreAddress;
         m_services.kvLink.add(m_services.storedPrefixes.holdsAll(salt, parts, now) ? sharedBytes : 0, now);
     }
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -84,11 +84,19 @@
         const double candidateCost = cost(engine, prompt, isHome, isOld, now);
         const std::uint64_t weight = hashBytes(candidate.id, prompt.sharedHash);
         if (!best.has_value() || candidateCost < bestCost || (candidateCost == bestCost && weight > bestWeight)) {
-            best = Choice{candidate.id, version, isHome, candidateCost};
+            best = Choice{candidate.id, version, isHome, std::string(), candidateCost};
             bestCost = candidateCost;
             bestWeight = weight;
         }
     }
+    if (best.has_value() && home != nullptr && !best->isHome) {
+        const auto found = m_engines.find(home->id);
+        const bool isUsable = found != m_engines.end() && isCurrent(found->second.view, now) && found->second.view.isAnswering
+            && !found->second.view.isLoading;
+        if (isUsable && versionOf(*home, now) == best->weightsVersion) {
+            best->homeWithSameWeights = home->id;
+        }
+    }
     return best;
 }
 
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -73,6 +73,8 @@
         std::int64_t weightsVersion = 0;
         /** Whether it is the home of the shared prefix. */
         bool isHome = false;
+        /** The engine that is the home of the shared prefix, if it can be asked for its parts; else empty. */
+        std::string homeWithSameWeights;
         /** The predicted time to the first token, with what is to be avoided counted as time. */
         double costMs = 0;
     };
