--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -1,6 +1,6 @@
 #include "core/metrics.h"
 
-#include <array>
+#include <cctype>
 
 namespace citronspar
 {
@@ -10,6 +10,16 @@
 
 constexpr std::array<double, 3> reportedQuantiles = {0.5, 0.95, 0.99};
 
+/** @p name with the project's prefix, and an underscore for each character that a metric's name may not have. */
+std::string metricName(const std::string &name)
+{
+    std::string result = "citronspar_";
+    for (const char character : name) {
+        result += std::isalnum(static_cast<unsigned char>(character)) != 0 ? character : '_';
+    }
+    return result;
+}
+
 }
 
 void Metrics::count(const std::string &name)
@@ -19,6 +29,12 @@
 
 void Metrics::sample(const std::string &name, double value)
 {
+    Histogram &histogram = m_histograms[name];
+    for (std::size_t i = 0; i < Histogram::bounds.size(); ++i) {
+        histogram.counts[i] += value <= Histogram::bounds[i] ? 1 : 0;
+    }
+    ++histogram.count;
+    histogram.sum += value;
     const auto found = m_series.find(name);
     if (found != m_series.end()) {
         found->second(value);
@@ -39,6 +55,25 @@
     return m_counters;
 }
 
+std::string Metrics::exposition() const
+{
+    std::ostringstream text;
+    for (const std::pair<const std::string, std::uint64_t> &entry : m_counters) {
+        const std::string name = metricName(entry.first) + "_total";
+        text << "# TYPE " << name << " counter\n" << name << ' ' << entry.second << '\n';
+    }
+    for (const std::pair<const std::string, Histogram> &entry : m_histograms) {
+        const std::string name = metricName(entry.first) + "_ms";
+        text << "# TYPE " << name << " histogram\n";
+        for (std::size_t i = 0; i < Histogram::bounds.size(); ++i) {
+            text << name << "_bucket{le=\"" << Histogram::bounds[i] << "\"} " << entry.second.counts[i] << '\n';
+        }
+        text << name << "_bucket{le=\"+Inf\"} " << entry.second.count << '\n';
+        text << name << "_sum " << entry.second.sum << '\n' << name << "_count " << entry.second.count << '\n';
+    }
+    return text.str();
+}
+
 std::map<std::string, SeriesSummary> Metrics::summaries() const
 {
     namespace acc = boost::accumulators;
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -11,6 +11,7 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -29,6 +30,17 @@
     double p99 = 0;
 };
 
+/** How many samples of a series lie at or below each bound. */
+struct Histogram
+{
+    /** The upper bounds, in the unit of the samples; for durations, milliseconds. */
+    static constexpr std::array<double, 11> bounds = {5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000};
+
+    std::array<std::uint64_t, bounds.size()> counts{};
+    std::uint64_t count = 0;
+    double sum = 0;
+};
+
 /** Counters and series of one daemon, by name. Memory does not grow with the samples. */
 class Metrics
 {
@@ -40,6 +52,7 @@
 
     std::map<std::string, std::uint64_t> m_counters;
     std::map<std::string, Series> m_series;
+    std::map<std::string, Histogram> m_histograms;
 
 public:
     /** Adds one to the counter @p name. */
@@ -53,6 +66,9 @@
 
     const std::map<std::string, std::uint64_t> &counters() const;
 
+    /** All counters and histograms in the text exposition format of Prometheus, version 0.0.4. */
+    std::string exposition() const;
+
     /** The summaries of all series, by name. */
     std::map<std::string, SeriesSummary> summaries() const;
 };
--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -105,13 +105,18 @@
     if (reply.failure == platform::StoreFailure::HistoryGone) {
         m_log.write("store", "history gone", {{"table", m_table}, {"version", std::to_string(m_version)}});
         m_hasSnapshot = false;
-        ask(std::string());
+        // A store that loses its history again and again is not asked without a pause.
+        m_loop.timers().subscribeOnce(m_gapPause, [this](TimePoint) {
+            ask(std::string());
+        });
+        m_gapPause = longestPause;
         return;
     }
     if (reply.failure.has_value()) {
         fail(reply);
         return;
     }
+    m_gapPause = Duration::zero();
     m_version = std::max(m_version, reply.rows.version);
     if (!reply.rows.rows.empty()) {
         m_handlers.onChanges(reply.rows.rows);
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -45,6 +45,7 @@
     bool m_isFollowing = false;
     bool m_isReading = false;
     Duration m_pause{};
+    Duration m_gapPause{};
     std::vector<platform::StoreRow> m_pages;
     StoreClock m_clock;
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -5,6 +5,7 @@
 #include "main/daemoncore.h"
 #include "main/endpointrole.h"
 #include "main/entryrole.h"
+#include "main/metricsserver.h"
 #include "main/peerlinks.h"
 #include "main/proxy/proxyrole.h"
 #include "main/settings.h"
@@ -101,7 +102,11 @@
     }
     std::unique_ptr<ConfigService> config;
     std::unique_ptr<Role> role;
+    MetricsServer metrics(core.loop(), core.metrics());
     if (settings.platform.has_value()) {
+        if (!settings.platform->metricsListen.empty() && !metrics.open(settings.platform->metricsListen)) {
+            LOG4CXX_WARN(logger, "can't serve metrics on " << settings.platform->metricsListen);
+        }
         role = makePlatformRole(core, links);
     } else {
         config = std::make_unique<ConfigService>(core, links);
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -32,6 +32,10 @@
 // The endpoint is slowed down while the caller has this much to take.
 constexpr std::size_t maxCallerBacklog = 256 * 1024;
 
+// A request whose first token is predicted later than this part of its
+// objective is told to come back: it would come too late and make others late.
+constexpr int admittedPercent = 60;
+
 // Shorter shared prefixes are read sooner than a transfer starts.
 constexpr std::int64_t minTransferTokens = 1000;
 
@@ -232,7 +236,8 @@
     const auto service = m_config->services.find(m_service);
     const TimePoint now = Loop::now();
     const std::string &salt = traits.cacheSalt;
-    if (store == nullptr || service == m_config->services.end() || m_prompt.sharedTokens < minTransferTokens || !m_services.storedPrefixes.isReachable()) {
+    if (store == nullptr || service == m_config->services.end() || m_prompt.sharedTokens < minTransferTokens
+        || !m_services.storedPrefixes.isReachable()) {
         return;
     }
     m_services.kvLink.setLink(store->kvLinkBytesPerSecond, m_services.quotas.daemons());
@@ -268,6 +273,9 @@
     if (m_account != nullptr) {
         traits.account = m_account->name;
     }
+    if (m_events.hasEvents()) {
+        traits.lastEventId = m_events.lastId();
+    }
     if (!m_isEngineService) {
         return traits;
     }
@@ -276,9 +284,6 @@
     traits.cacheSalt = cacheSalt(choice.weightsVersion);
     traits.weightsVersion = choice.weightsVersion;
     planTransfers(choice, traits);
-    if (m_events.hasEvents()) {
-        traits.lastEventId = m_events.lastId();
-    }
     return traits;
 }
 
@@ -298,6 +303,12 @@
         && m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now());
 }
 
+bool ProxyCall::isHopeless(double predictedMs) const
+{
+    const Duration waited = Loop::now() - m_incoming.arrived;
+    return fromSeconds(predictedMs / 1000) + waited > m_route->targetLatency * admittedPercent / 100;
+}
+
 void ProxyCall::send()
 {
     if (!isKeyStillGood()) {
@@ -314,6 +325,10 @@
         fail(ErrorKind::DeadlinePassed);
         return;
     }
+    if (m_isEngineService && m_ledger->tries() == 0 && isHopeless(choice->costMs)) {
+        fail(ErrorKind::Overloaded);
+        return;
+    }
     m_endpoint = choice->id;
     m_excluded.push_back(choice->id);
     m_hasFirstToken = false;
@@ -350,7 +365,8 @@
                           {"config", std::to_string(m_config->version)},
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(choice->weightsVersion)},
-                          {"home", choice->isHome ? "yes" : "no"}, {"predictedMs", std::to_string(static_cast<int>(choice->costMs))},
+                          {"home", choice->isHome ? "yes" : "no"},
+                          {"predictedMs", std::to_string(static_cast<int>(choice->costMs))},
                           {"try", std::to_string(m_ledger->tries())}});
 }
 
@@ -563,7 +579,8 @@
                           {"endpoint", m_excluded.empty() ? "" : m_excluded.back()},
                           {"status", std::to_string(m_answer.status)},
                           {"tries", std::to_string(m_excluded.size())},
-                          {"firstEventMs", millisecondsText(m_firstEventAfter)}, {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
+                          {"firstEventMs", millisecondsText(m_firstEventAfter)},
+                          {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
                           {"configAgeMs", millisecondsText(proofAge)}});
 }
 
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -64,6 +64,7 @@
     void payAndSend();
     void takeReservation(QuotaClient::Outcome outcome, Duration wait);
     void send();
+    bool isHopeless(double predictedMs) const;
     bool isKeyStillGood() const;
     std::optional<EndpointPlacement::Choice> choosePlace();
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
--- a/tests/core/metrics_test.cpp
+++ b/tests/core/metrics_test.cpp
@@ -15,3 +15,17 @@
     CHECK(summary.mean == Approx(500.5));
     CHECK(summary.p95 == Approx(950).epsilon(0.02));
 }
+
+TEST_CASE("[Metrics] Counters and histograms are told in the usual text format")
+{
+    Metrics metrics;
+    metrics.count("requests answered");
+    metrics.sample("first event", std::chrono::milliseconds(7));
+    metrics.sample("first event", std::chrono::seconds(20));
+    const std::string text = metrics.exposition();
+    CHECK(text.find("citronspar_requests_answered_total 1\n") != std::string::npos);
+    CHECK(text.find("citronspar_first_event_ms_bucket{le=\"5\"} 0\n") != std::string::npos);
+    CHECK(text.find("citronspar_first_event_ms_bucket{le=\"10\"} 1\n") != std::string::npos);
+    CHECK(text.find("citronspar_first_event_ms_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+    CHECK(text.find("citronspar_first_event_ms_count 2\n") != std::string::npos);
+}
--- /dev/null
+++ b/tests/main/proxyrole_test.cpp
@@ -0,0 +1,309 @@
+#include "main/proxy/proxyrole.h"
+#include "tests/fakes/platformstandin.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace citronspar;
+using fakes::EndpointStandIn;
+using fakes::StoreStandIn;
+using Behaviour = EndpointStandIn::Behaviour;
+
+namespace
+{
+
+const char *const frontAddress = "127.0.0.1:18901";
+const char *const readyAddress = "127.0.0.1:18902";
+const char *const storeAddress = "127.0.0.1:18903";
+const char *const peerAddress = "127.0.0.1:18904";
+const std::vector<std::string> endpointAddresses = {"127.0.0.1:18911", "127.0.0.1:18912"};
+
+Settings settingsOf()
+{
+    Settings settings;
+    settings.daemon = "entry-1";
+    settings.zone = "a";
+    settings.httpListen = frontAddress;
+    settings.peerListen = peerAddress;
+    settings.table = storeAddress;
+    settings.fleetSecret = "a secret of the fleet";
+    settings.platform = PlatformSettings();
+    settings.platform->readyListen = readyAddress;
+    settings.platform->peerPort = 18904;
+    settings.platform->retrySlack = 100;
+    return settings;
+}
+
+std::string configText(std::int64_t version, const std::vector<std::string> &keys)
+{
+    const auto route = [](const char *prefix, const char *kind, bool isResumable, bool isPublic) {
+        return nlohmann::json({{"name", prefix},
+                               {"host", "h"},
+                               {"prefix", prefix},
+                               {"routeKind", kind},
+                               {"timeoutMs", 700},
+                               {"targetLatencyMs", 500},
+                               {"priority", 1},
+                               {"service", "app"},
+                               {"maxAttempts", 2},
+                               {"public", isPublic},
+                               {"resumable", isResumable}});
+    };
+    nlohmann::json config = {{"version", version},
+                             {"routes",
+                              {route("/once/", "non_idempotent", false, false), route("/again/", "idempotent", false, false),
+                               route("/stream/", "stream", true, false), route("/plain-stream/", "stream", false, false),
+                               route("/open/", "idempotent", false, true)}},
+                             {"services", {{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 10}}}},
+                             {"limits", nlohmann::json::object()},
+                             {"tenants", {{{"name", "mine"}, {"apiKeys", keys}, {"unit", "tokens"}, {"plainTokens", 1}}}}};
+    return config.dump();
+}
+
+std::string entryText(const std::string &address)
+{
+    return nlohmann::json({{"service", "app"},
+                           {"addr", address},
+                           {"zone", "a"},
+                           {"version", "v1"},
+                           {"slots", 4},
+                           {"state", "ready"},
+                           {"coldLeftMs", 0},
+                           {"sequence", 1},
+                           {"born", 1000}})
+        .dump();
+}
+
+struct Answer
+{
+    HttpCallEnd end = HttpCallEnd::NotSent;
+    HttpHead head;
+    std::string body;
+    bool isDone = false;
+};
+
+/** An entry daemon between a stand-in of the platform and a caller, all on one loop. */
+struct World
+{
+    DaemonCore core;
+    StoreStandIn store;
+    std::vector<std::unique_ptr<EndpointStandIn>> endpoints;
+    PeerLinks links;
+    ProxyRole role;
+    HttpPool callers;
+    int lastRequest = 0;
+
+    World()
+        : core(settingsOf())
+        , store(core.loop(), parseSocketAddress(storeAddress))
+        , links(core)
+        , role(core, links, *core.settings().platform)
+        , callers(core.loop())
+    {
+        store.put("op", "config", configText(7, {"good-key"}));
+        for (const std::string &address : endpointAddresses) {
+            endpoints.push_back(std::make_unique<EndpointStandIn>(core.loop(), parseSocketAddress(address), "i-" + address));
+            store.put("servers", "i-" + address, entryText(address));
+        }
+        store.put("servers", "foreign", "\xff not an entry");
+        REQUIRE(role.open());
+        runFor(std::chrono::milliseconds(60));
+    }
+
+    void runFor(Duration time)
+    {
+        core.timers().subscribeOnce(time, [this](TimePoint) {
+            core.loop().stop();
+        });
+        core.loop().run();
+    }
+
+    HttpCall callTo(const std::string &path, const std::string &key)
+    {
+        HttpCall call;
+        call.target = parseSocketAddress(frontAddress);
+        call.poolKey = "caller";
+        call.head.method = "POST";
+        call.head.target = path;
+        call.head.set("Host", "h");
+        call.head.set("Citronspar-Request-Id", "r" + std::to_string(++lastRequest));
+        call.head.set("Citronspar-Deadline-Ms", "5000");
+        call.head.set("Authorization", "Bearer " + key);
+        call.body = "the body";
+        return call;
+    }
+
+    Answer ask(const std::string &path, const std::string &key = "good-key")
+    {
+        Answer answer;
+        callers.fetch(callTo(path, key), std::chrono::seconds(3), [&](HttpCallEnd end, const HttpHead &head, const std::string &body) {
+            answer = Answer{end, head, body, true};
+            core.loop().stop();
+        });
+        core.loop().run();
+        REQUIRE(answer.isDone);
+        return answer;
+    }
+
+    void behave(Behaviour first, Behaviour second)
+    {
+        endpoints[0]->behaviour = first;
+        endpoints[1]->behaviour = second;
+    }
+
+    std::size_t received() const
+    {
+        return endpoints[0]->received.size() + endpoints[1]->received.size();
+    }
+};
+
+}
+
+TEST_CASE("[ProxyRole] A request goes to an endpoint unchanged, without its key, and the answer comes back whole")
+{
+    World world;
+    const Answer answer = world.ask("/once/x?y=z");
+    CHECK(answer.head.status == 200);
+    CHECK(answer.body == EndpointStandIn::wholeStream());
+    CHECK(answer.head.find("Citronspar-Server-Seal") != nullptr);
+    REQUIRE(world.received() == 1);
+    const EndpointStandIn &endpoint = world.endpoints[0]->received.empty() ? *world.endpoints[1] : *world.endpoints[0];
+    const EndpointStandIn::Received &request = endpoint.received.front();
+    CHECK(request.body == "the body");
+    CHECK(request.head.target == "/once/x?y=z");
+    CHECK(request.head.find("Authorization") == nullptr);
+    CHECK(request.head.value("Citronspar-Tenant") == "mine");
+}
+
+TEST_CASE("[ProxyRole] Unknown keys and routes are refused, public routes need no key")
+{
+    World world;
+    CHECK(world.ask("/once/x", "bad-key").head.status == 401);
+    CHECK(world.ask("/nowhere/x").head.status == 404);
+    CHECK(world.received() == 0);
+    CHECK(world.ask("/open/x", "bad-key").head.status == 200);
+}
+
+TEST_CASE("[ProxyRole] A withdrawn key stops at once when the store tells, and soon when it does not answer")
+{
+    World world;
+    world.store.put("op", "config", configText(8, {"other-key"}));
+    world.runFor(std::chrono::milliseconds(300));
+    CHECK(world.ask("/once/x").head.status == 401);
+    CHECK(world.ask("/once/x", "other-key").head.status == 200);
+    // An older version never comes back.
+    world.store.put("op", "config", configText(6, {"good-key"}));
+    world.runFor(std::chrono::milliseconds(300));
+    CHECK(world.ask("/once/x").head.status == 401);
+    const std::size_t before = world.received();
+    world.store.isSilent = true;
+    world.runFor(std::chrono::milliseconds(4700));
+    CHECK(world.ask("/once/x", "other-key").head.status == 503);
+    CHECK(world.received() == before);
+    CHECK(world.ask("/open/x").head.status == 200);
+    world.store.isSilent = false;
+    world.runFor(std::chrono::milliseconds(2500));
+    CHECK(world.ask("/once/x", "other-key").head.status == 200);
+}
+
+TEST_CASE("[ProxyRole] A refused request goes to another endpoint, and 'not run' is said only when it is true")
+{
+    World world;
+    world.behave(Behaviour::Refuse, Behaviour::Refuse);
+    const Answer refused = world.ask("/once/x");
+    CHECK(refused.head.status == 503);
+    CHECK(refused.head.find("Retry-After") != nullptr);
+    CHECK(world.received() == 2);
+    world.runFor(std::chrono::milliseconds(200));
+    world.behave(Behaviour::Lose, Behaviour::Lose);
+    const Answer lost = world.ask("/once/x");
+    CHECK(lost.head.status == 502);
+    CHECK(world.received() == 3);
+}
+
+TEST_CASE("[ProxyRole] Lost and failed idempotent requests are tried once more")
+{
+    World world;
+    world.behave(Behaviour::Lose, Behaviour::Answer);
+    CHECK(world.ask("/again/x").head.status == 200);
+    world.behave(Behaviour::Fail, Behaviour::Answer);
+    CHECK(world.ask("/again/x").head.status == 200);
+    world.behave(Behaviour::Fail, Behaviour::Fail);
+    const Answer failed = world.ask("/again/x");
+    CHECK(failed.head.status == 500);
+    CHECK(failed.body == "failed");
+}
+
+TEST_CASE("[ProxyRole] An answer that no endpoint signed never reaches the caller")
+{
+    World world;
+    world.behave(Behaviour::Unsigned, Behaviour::Unsigned);
+    const Answer answer = world.ask("/once/x");
+    CHECK(answer.head.status == 502);
+    CHECK(answer.body.find("not mine") == std::string::npos);
+}
+
+TEST_CASE("[ProxyRole] A resumable stream that breaks inside an event goes on elsewhere without a gap")
+{
+    World world;
+    world.behave(Behaviour::CutInEvent, Behaviour::Answer);
+    for (int i = 0; i < 4; ++i) {
+        const Answer answer = world.ask("/stream/x");
+        CHECK(answer.end == HttpCallEnd::Complete);
+        CHECK(answer.body == EndpointStandIn::wholeStream());
+    }
+    world.behave(Behaviour::CutInEvent, Behaviour::CutInEvent);
+    CHECK(world.ask("/plain-stream/x").end == HttpCallEnd::Broken);
+}
+
+TEST_CASE("[ProxyRole] A silent endpoint is given up at the route's timeout")
+{
+    World world;
+    world.behave(Behaviour::Silent, Behaviour::Silent);
+    const TimePoint start = Loop::now();
+    const Answer answer = world.ask("/once/x");
+    CHECK(answer.head.status == 504);
+    CHECK(Loop::now() - start < std::chrono::milliseconds(1200));
+    world.runFor(std::chrono::milliseconds(50));
+    CHECK(world.endpoints[0]->gone + world.endpoints[1]->gone == 1);
+}
+
+TEST_CASE("[ProxyRole] When the caller leaves, its endpoint is told")
+{
+    World world;
+    world.behave(Behaviour::Silent, Behaviour::Silent);
+    const HttpPool::CallId call = world.callers.send(world.callTo("/once/x", "good-key"), HttpPool::Handlers());
+    world.runFor(std::chrono::milliseconds(100));
+    REQUIRE(world.received() == 1);
+    world.callers.cancel(call);
+    world.runFor(std::chrono::milliseconds(100));
+    CHECK(world.endpoints[0]->gone + world.endpoints[1]->gone == 1);
+}
+
+TEST_CASE("[ProxyRole] The list is read again when the store has dropped its history")
+{
+    World world;
+    world.store.put("servers", "i-" + endpointAddresses[0], "gone", true);
+    world.store.put("servers", "i-" + endpointAddresses[1], "gone", true);
+    world.runFor(std::chrono::milliseconds(400));
+    CHECK(world.ask("/once/x").head.status == 503);
+    world.store.put("op", "config", configText(8, {"good-key"}));
+    world.store.put("servers", "i-" + endpointAddresses[1], entryText(endpointAddresses[1]));
+    world.store.forgetHistory();
+    world.runFor(std::chrono::milliseconds(1500));
+    CHECK(world.ask("/once/x").head.status == 200);
+}
+
+TEST_CASE("[ProxyRole] A store that has no history at all is not flooded with questions")
+{
+    World world;
+    world.store.historyStart = 1000000;
+    world.store.put("op", "config", configText(8, {"good-key"}));
+    world.runFor(std::chrono::milliseconds(200));
+    const int before = world.store.calls;
+    world.runFor(std::chrono::milliseconds(2000));
+    CHECK(world.store.calls - before < 20);
+}
