--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -304,6 +304,15 @@
     }
 }
 
+void CompanionRole::applySettings(const Settings &settings)
+{
+    if (!settings.platform.has_value()) {
+        return;
+    }
+    m_quotas.setTolerance(QuotaTolerance{settings.platform->quotaOvershoot, settings.platform->quotaSlack, settings.platform->quotaWindow});
+    m_log.write("daemon", "settings reloaded", {});
+}
+
 void CompanionRole::beginStop()
 {
     m_log.write("daemon", "stopping", {});
--- a/main/companion/companionrole.h
+++ b/main/companion/companionrole.h
@@ -68,6 +68,7 @@
     CompanionRole(DaemonCore &core, PeerLinks &links, const PlatformSettings &settings);
 
     bool open() override;
+    void applySettings(const Settings &settings) override;
     void beginStop() override;
     bool isIdle() const override;
 };
--- a/main/endpointrole.cpp
+++ b/main/endpointrole.cpp
@@ -334,6 +334,11 @@
     runQueued();
 }
 
+void EndpointRole::applySettings(const Settings &)
+{
+    // All of this role's settings take effect at a start.
+}
+
 void EndpointRole::beginStop()
 {
     m_isLeaving = true;
--- a/main/endpointrole.h
+++ b/main/endpointrole.h
@@ -62,6 +62,7 @@
     EndpointRole(DaemonCore &core, PeerLinks &links, ConfigService &config);
 
     bool open() override;
+    void applySettings(const Settings &settings) override;
     void beginStop() override;
     bool isIdle() const override;
 };
--- a/main/entryrole.cpp
+++ b/main/entryrole.cpp
@@ -237,6 +237,11 @@
     forgetOldAttempts();
 }
 
+void EntryRole::applySettings(const Settings &)
+{
+    // All of this role's settings take effect at a start.
+}
+
 void EntryRole::beginStop()
 {
     m_isStopping = true;
--- a/main/entryrole.h
+++ b/main/entryrole.h
@@ -50,6 +50,7 @@
     EntryRole(DaemonCore &core, PeerLinks &links, ConfigService &config, std::unique_ptr<RoutingStrategy> strategy);
 
     bool open() override;
+    void applySettings(const Settings &settings) override;
     void beginStop() override;
     bool isIdle() const override;
 };
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -9,6 +9,7 @@
 #include "main/peerlinks.h"
 #include "main/proxy/proxyrole.h"
 #include "main/settings.h"
+#include "main/settingswatch.h"
 #include "servers/routingstrategies.h"
 
 #include <popt.h>
@@ -25,14 +26,21 @@
 
 constexpr int exitUsage = 2;
 constexpr Duration stopPoll = std::chrono::milliseconds(200);
+constexpr Duration reloadPoll = std::chrono::milliseconds(1000);
 
 volatile std::sig_atomic_t isStopRequested = 0;
+volatile std::sig_atomic_t isReloadRequested = 0;
 
 void requestStop(int)
 {
     isStopRequested = 1;
 }
 
+void requestReload(int)
+{
+    isReloadRequested = 1;
+}
+
 std::optional<std::string> settingsPath(int argc, const char **argv)
 {
     char *path = nullptr;
@@ -87,7 +95,7 @@
     return std::make_unique<ProxyRole>(core, links, platform);
 }
 
-int runDaemon(const Settings &settings)
+int runDaemon(const Settings &settings, const std::string &path)
 {
     const log4cxx::LoggerPtr logger = partLogger("daemon");
     DaemonCore core(settings);
@@ -129,6 +137,17 @@
             core.loop().stop();
         }
     });
+    SettingsWatch watch(path);
+    core.timers().subscribe(reloadPoll, [&](TimePoint) {
+        const bool isAsked = isReloadRequested != 0;
+        isReloadRequested = 0;
+        const std::optional<Settings> changed = watch.poll(isAsked);
+        if (changed.has_value()) {
+            role->applySettings(*changed);
+        } else if (!watch.lastReason().empty()) {
+            LOG4CXX_ERROR(logger, "keeps its settings: " << watch.lastReason());
+        }
+    });
     core.record("daemon", "started");
     core.loop().run();
     LOG4CXX_INFO(logger, "stopped");
@@ -152,6 +171,7 @@
     setUpLogging(settings->logLayout == "json" ? LogLayout::Json : LogLayout::Text, settings->logLevel);
     std::signal(SIGTERM, requestStop);
     std::signal(SIGINT, requestStop);
+    std::signal(SIGHUP, requestReload);
     std::signal(SIGPIPE, SIG_IGN);
-    return runDaemon(*settings);
+    return runDaemon(*settings, *path);
 }
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -67,7 +67,9 @@
     , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
     , m_holders(core, links)
     , m_engineLinks(core, links, m_operators, m_endpoints, m_engines, m_quotas, m_log, settings.peerPort)
-    , m_services{core.loop(), m_listener,  m_pool,   m_operators, m_endpoints,   m_engines, m_plain, m_storedPrefixes, m_residents, m_kvLink, m_retries,   m_freshness, m_quotas, m_holders,   m_engineLinks, m_log,     core.metrics(), settings.weightsDeadline}
+    , m_services{core.loop(), m_listener,       m_pool,        m_operators, m_endpoints,    m_engines,
+                 m_plain,     m_storedPrefixes, m_residents,   m_kvLink,    m_retries,      m_freshness,
+                 m_quotas,    m_holders,        m_engineLinks, m_log,       core.metrics(), settings.weightsDeadline}
     , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncoming request) {
@@ -166,6 +168,21 @@
     m_readyListener.respond(id, platform::ownAnswerHead(status, std::string(), std::nullopt), std::string());
 }
 
+void ProxyRole::applySettings(const Settings &settings)
+{
+    if (!settings.platform.has_value()) {
+        return;
+    }
+    m_platform = *settings.platform;
+    m_freshness = KeyFreshness(m_platform.keyRevocation);
+    m_quotas.setTolerance(QuotaTolerance{m_platform.quotaOvershoot, m_platform.quotaSlack, m_platform.quotaWindow});
+    m_services.weightsDeadline = m_platform.weightsDeadline;
+    if (!m_shutdown.isStarted()) {
+        m_shutdown = ShutdownPlan(shutdownSettings(m_platform.stopGrace));
+    }
+    m_log.write("daemon", "settings reloaded", {{"revocationMs", millisecondsText(m_platform.keyRevocation)}});
+}
+
 void ProxyRole::beginStop()
 {
     m_shutdown.start(Loop::now());
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -20,7 +20,7 @@
 {
 private:
     DaemonCore &m_core;
-    const PlatformSettings m_platform;
+    PlatformSettings m_platform;
     DecisionLog m_log;
     HttpPool m_pool;
     HttpListener m_listener;
@@ -54,6 +54,7 @@
     ProxyRole(DaemonCore &core, PeerLinks &links, const PlatformSettings &settings);
 
     bool open() override;
+    void applySettings(const Settings &settings) override;
     void beginStop() override;
     bool isIdle() const override;
 };
--- a/main/role.h
+++ b/main/role.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "main/settings.h"
+
 namespace citronspar
 {
 
@@ -15,6 +17,9 @@
     /** Takes no new work from now on. */
     virtual void beginStop() = 0;
 
+    /** Takes over what can change while the process runs. */
+    virtual void applySettings(const Settings &settings) = 0;
+
     /** Whether all work has ended, so that the process can leave. */
     virtual bool isIdle() const = 0;
 };
--- a/servers/quotagate.cpp
+++ b/servers/quotagate.cpp
@@ -34,6 +34,11 @@
 {
 }
 
+void QuotaGate::setTolerance(QuotaTolerance tolerance)
+{
+    m_tolerance = tolerance;
+}
+
 QuotaGate::Bucket &QuotaGate::filledBucket(const TrafficAccount &account, TimePoint now)
 {
     const double part = evenPart / m_daemons;
--- a/servers/quotagate.h
+++ b/servers/quotagate.h
@@ -55,6 +55,9 @@
 public:
     explicit QuotaGate(QuotaTolerance tolerance);
 
+    /** The operators changed what they tolerate. */
+    void setTolerance(QuotaTolerance tolerance);
+
     /** Takes @p cost when the bucket has it. */
     bool take(const TrafficAccount &account, double cost, TimePoint now);
 
--- a/servers/quotaholder.cpp
+++ b/servers/quotaholder.cpp
@@ -22,6 +22,11 @@
 {
 }
 
+void QuotaHolder::setTolerance(QuotaTolerance tolerance)
+{
+    m_tolerance = tolerance;
+}
+
 QuotaHolder::Answer QuotaHolder::reserve(const TrafficAccount &account, double cost, TimePoint now)
 {
     const double rate = usableRate(account, m_tolerance) * heldPart;
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -40,6 +40,9 @@
 public:
     QuotaHolder(QuotaTolerance tolerance, TimePoint startedAt);
 
+    /** The operators changed what they tolerate. */
+    void setTolerance(QuotaTolerance tolerance);
+
     /** Takes @p cost out of the account's bucket. A request may overdraw it, and what it lacks is paid back first. */
     Answer reserve(const TrafficAccount &account, double cost, TimePoint now);
 };
--- a/servers/weightsrollout.h
+++ b/servers/weightsrollout.h
@@ -26,7 +26,7 @@
         /** From one group's load to the next one's. */
         Duration groupInterval = std::chrono::milliseconds(620);
         /** From the announcement to the load, in which requests that run can end. */
-        Duration announceLead = std::chrono::milliseconds(700);
+        Duration announceLead = std::chrono::milliseconds(300);
         /** An order that shows no effect for this long is repeated. */
         Duration orderPatience = std::chrono::milliseconds(1500);
     };
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -1,4 +1,5 @@
 #include "main/settings.h"
+#include "main/settingswatch.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -70,3 +71,21 @@
     CHECK_FALSE(readText(reader, "{").has_value());
     CHECK(reader.lastReason().find("not JSON") != std::string::npos);
 }
+
+TEST_CASE("[SettingsWatch] A changed file is read, and a broken one leaves the settings as they are")
+{
+    std::ofstream(path) << goodDocument().dump();
+    SettingsWatch watch(path);
+    CHECK_FALSE(watch.poll(false).has_value());
+    CHECK(watch.lastReason().empty());
+    nlohmann::json changed = goodDocument();
+    changed["zone"] = "dar-b";
+    std::ofstream(path) << changed.dump();
+    const std::optional<Settings> settings = watch.poll(true);
+    REQUIRE(settings.has_value());
+    CHECK(settings->zone == "dar-b");
+    std::ofstream(path) << "{";
+    CHECK_FALSE(watch.poll(true).has_value());
+    CHECK_FALSE(watch.lastReason().empty());
+    std::remove(path);
+}
