--- a/main/feeds/endpointfeed.cpp
+++ b/main/feeds/endpointfeed.cpp
@@ -39,7 +39,7 @@
 
 void EndpointFeed::onChange(ChangeHandler handler)
 {
-    m_changeHandler = std::move(handler);
+    m_changeHandlers.push_back(std::move(handler));
 }
 
 void EndpointFeed::start()
@@ -54,8 +54,8 @@
 
 void EndpointFeed::changed()
 {
-    if (m_changeHandler) {
-        m_changeHandler();
+    for (const ChangeHandler &handler : m_changeHandlers) {
+        handler();
     }
 }
 
--- a/main/feeds/endpointfeed.h
+++ b/main/feeds/endpointfeed.h
@@ -4,6 +4,7 @@
 #include "servers/endpointdirectory.h"
 
 #include <functional>
+#include <vector>
 
 namespace citronspar
 {
@@ -18,7 +19,7 @@
     DecisionLog &m_log;
     EndpointDirectory m_directory;
     StoreFeed m_feed;
-    ChangeHandler m_changeHandler;
+    std::vector<ChangeHandler> m_changeHandlers;
     bool m_isKnown = false;
 
     void takeSnapshot(const std::vector<platform::StoreRow> &rows);
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -20,6 +20,10 @@
 // Other daemons take the request at once.
 constexpr Duration retryAfterStop = std::chrono::milliseconds(20);
 
+// After a start the store is read within some milliseconds; a request that
+// comes before waits this long at the most.
+constexpr Duration earlyPatience = std::chrono::milliseconds(60);
+
 // Without a confirmation for this long callers are better served elsewhere.
 constexpr Duration readyProofAge = std::chrono::milliseconds(3000);
 
@@ -76,6 +80,7 @@
         startCall(id, std::move(request));
     });
     m_listener.onGone([this](HttpListener::ExchangeId id) {
+        m_early.erase(id);
         const auto found = m_calls.find(id);
         if (found != m_calls.end()) {
             found->second->callerGone();
@@ -92,6 +97,10 @@
     });
     m_operators.onConfig([this](const TrafficConfig &config) {
         applyLimits(config);
+        startEarly();
+    });
+    m_endpoints.onChange([this]() {
+        startEarly();
     });
 }
 
@@ -119,8 +128,42 @@
     m_listener.setLimits(limits);
 }
 
+bool ProxyRole::knowsFleet() const
+{
+    return m_operators.config() != nullptr && m_endpoints.isKnown();
+}
+
+void ProxyRole::holdEarly(HttpListener::ExchangeId id, HttpIncoming request)
+{
+    m_early[id] = std::move(request);
+    m_core.timers().subscribeOnce(earlyPatience, [this, id](TimePoint) {
+        const auto found = m_early.find(id);
+        if (found != m_early.end()) {
+            HttpIncoming held = std::move(found->second);
+            m_early.erase(found);
+            startCall(id, std::move(held));
+        }
+    });
+}
+
+void ProxyRole::startEarly()
+{
+    if (!knowsFleet()) {
+        return;
+    }
+    std::map<HttpListener::ExchangeId, HttpIncoming> early;
+    early.swap(m_early);
+    for (std::pair<const HttpListener::ExchangeId, HttpIncoming> &entry : early) {
+        startCall(entry.first, std::move(entry.second));
+    }
+}
+
 void ProxyRole::startCall(HttpListener::ExchangeId id, HttpIncoming request)
 {
+    if (!knowsFleet() && Loop::now() - request.arrived < earlyPatience) {
+        holdEarly(id, std::move(request));
+        return;
+    }
     if (!m_shutdown.servesNewRequests(Loop::now())) {
         refuseWhileStopping(id, request);
         return;
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -42,7 +42,12 @@
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
     ShutdownPlan m_shutdown;
+    /** Requests that came before the daemon knew a configuration and the endpoints. */
+    std::map<HttpListener::ExchangeId, HttpIncoming> m_early;
 
+    bool knowsFleet() const;
+    void holdEarly(HttpListener::ExchangeId id, HttpIncoming request);
+    void startEarly();
     void startCall(HttpListener::ExchangeId id, HttpIncoming request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncoming &request);
     void endCall(HttpListener::ExchangeId id);
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -96,14 +96,16 @@
     HttpPool callers;
     int lastRequest = 0;
 
-    World()
+    explicit World(bool hasConfig = true)
         : core(settingsOf())
         , store(core.loop(), parseSocketAddress(storeAddress))
         , links(core)
         , role(core, links, *core.settings().platform)
         , callers(core.loop())
     {
-        store.put("op", "config", configText(7, {"good-key"}));
+        if (hasConfig) {
+            store.put("op", "config", configText(7, {"good-key"}));
+        }
         for (const std::string &address : endpointAddresses) {
             endpoints.push_back(std::make_unique<EndpointStandIn>(core.loop(), parseSocketAddress(address), "i-" + address));
             store.put("servers", "i-" + address, entryText(address));
@@ -307,3 +309,13 @@
     world.runFor(std::chrono::milliseconds(2000));
     CHECK(world.store.calls - before < 20);
 }
+
+TEST_CASE("[ProxyRole] A request that comes before the first configuration waits a moment for it")
+{
+    World world(false);
+    CHECK(world.ask("/once/x").head.status == 503);
+    world.core.timers().subscribeOnce(std::chrono::milliseconds(20), [&](TimePoint) {
+        world.store.put("op", "config", configText(7, {"good-key"}));
+    });
+    CHECK(world.ask("/once/x").head.status == 200);
+}
