--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -2,6 +2,8 @@
 
 #include "core/hash.h"
 #include "core/metrics.h"
+#include "servers/admission.h"
+#include "servers/requestrouting.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,18 +34,7 @@
 // The endpoint is slowed down while the caller has this much to take.
 constexpr std::size_t maxCallerBacklog = 256 * 1024;
 
-// A request whose first token is predicted later than this part of its
-// objective is told to come back: it would come too late and make others late.
-constexpr int admittedPercent = 60;
-
-// Shorter shared prefixes are read sooner than a transfer starts.
-constexpr std::int64_t minTransferTokens = 1000;
-
-// Fetching is worth while when it starts before the engine would have read the prefix.
-constexpr Duration maxFetchBacklog = std::chrono::milliseconds(400);
-
-// Saves make way for fetches.
-constexpr Duration maxSaveBacklog = std::chrono::milliseconds(120);
+constexpr double millisecondsPerSecond = 1000;
 
 constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
 constexpr std::uint64_t retryAfterSpreadMicroseconds = 350000;
@@ -86,8 +77,6 @@
 ProxyCall::~ProxyCall()
 {
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
-    m_services.loop.timers().unsubscribe(m_quotaTimer);
-    m_services.holders.cancel(m_reservation);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -110,46 +99,29 @@
     m_timeoutTimer = m_services.loop.timers().subscribeOnce(left, [this](TimePoint) {
         timeOut();
     });
-    payAndSend();
+    pay();
 }
 
-void ProxyCall::payAndSend()
+void ProxyCall::pay()
 {
-    m_quotaTimer = 0;
     if (m_account == nullptr) {
         send();
         return;
     }
-    m_quotaCost = quotaCost(*m_account, m_request.hasTokenCounts, static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
-    m_hasPaid = m_services.quotas.take(*m_account, m_quotaCost, Loop::now());
-    if (m_hasPaid) {
-        send();
-        return;
-    }
-    const std::set<std::string> holders = m_services.engineLinks.daemonAddresses();
-    m_reservation = m_services.holders.reserve(m_account->name, m_quotaCost, holders, [this](QuotaClient::Outcome outcome, Duration wait) {
-        takeReservation(outcome, wait);
-    });
-}
-
-void ProxyCall::takeReservation(QuotaClient::Outcome outcome, Duration wait)
-{
-    m_reservation = 0;
-    const TimePoint now = Loop::now();
-    m_hasPaid = outcome == QuotaClient::Outcome::Granted
-        || (outcome == QuotaClient::Outcome::NoAnswer && m_services.quotas.takeOverdrawn(*m_account, m_quotaCost, now));
-    if (m_hasPaid) {
-        send();
-        return;
-    }
-    const Duration mayWait = m_route->targetLatency / quotaWaitDivisor - (now - m_incoming.arrived);
-    if (outcome == QuotaClient::Outcome::NoAnswer || wait > mayWait) {
-        fail(outcome == QuotaClient::Outcome::NoAnswer ? ErrorKind::LimitsUnavailable : ErrorKind::OverLimit);
-        return;
-    }
-    m_quotaTimer = m_services.loop.timers().subscribeOnce(wait, [this](TimePoint) {
-        payAndSend();
+    const double cost
+        = quotaCost(*m_account, m_request.hasTokenCounts, static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
+    const TimePoint waitsUntil = m_incoming.arrived + m_route->targetLatency / quotaWaitDivisor;
+    m_payment = std::make_unique<QuotaPayment>(m_services, *m_account, cost, waitsUntil, [this](std::optional<ErrorKind> refusal) {
+        if (m_isEnded) {
+            return;
+        }
+        if (refusal.has_value()) {
+            fail(*refusal);
+        } else {
+            send();
+        }
     });
+    m_payment->pay();
 }
 
 std::optional<ErrorKind> ProxyCall::admit()
@@ -162,34 +134,13 @@
         return ErrorKind::BadRequest;
     }
     const bool isFresh = m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now());
-    m_route = m_config->findRoute(m_request.host, m_request.path);
-    if (m_route == nullptr) {
-        return isFresh ? ErrorKind::UnknownRoute : ErrorKind::NotFresh;
-    }
-    const std::optional<ErrorKind> keyError = checkKey();
-    if (keyError.has_value()) {
-        return isFresh || *keyError == ErrorKind::NotFresh ? keyError : ErrorKind::NotFresh;
-    }
-    const std::uint64_t requestHash = hashBytes(m_request.id, splitSeed);
-    m_service = chooseService(*m_route, requestHash);
-    const auto service = m_config->services.find(m_service);
-    m_isEngineService = service != m_config->services.end() && service->second.isEngine;
-    return std::nullopt;
-}
-
-std::optional<ErrorKind> ProxyCall::checkKey()
-{
-    if (!m_route->needsKey) {
-        return std::nullopt;
-    }
-    if (!m_request.key.has_value()) {
-        return ErrorKind::KeyMissing;
-    }
-    if (!m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now())) {
-        return ErrorKind::NotFresh;
-    }
-    m_account = m_config->findAccount(*m_request.key);
-    return m_account == nullptr ? std::optional<ErrorKind>(ErrorKind::KeyRejected) : std::nullopt;
+    const RoutingQuestion question{m_request.host, m_request.path, m_request.key, hashBytes(m_request.id, splitSeed)};
+    const RoutedRequest routed = routeRequest(*m_config, question, isFresh);
+    m_route = routed.route;
+    m_account = routed.account;
+    m_service = routed.service;
+    m_isEngineService = routed.isEngineService;
+    return routed.refusal;
 }
 
 std::optional<EndpointPlacement::Choice> ProxyCall::choosePlace()
@@ -225,37 +176,32 @@
     return parts;
 }
 
-std::uint64_t ProxyCall::residentKey(const std::string &salt) const
-{
-    return hashCombine(m_prompt.sharedHash, hashBytes(salt, prefixSeed));
-}
-
 void ProxyCall::planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const
 {
     const TrafficService *store = m_config->kvStore();
     const auto service = m_config->services.find(m_service);
-    const TimePoint now = Loop::now();
-    const std::string &salt = traits.cacheSalt;
-    if (store == nullptr || service == m_config->services.end() || m_prompt.sharedTokens < minTransferTokens
-        || !m_services.storedPrefixes.isReachable()) {
+    if (store == nullptr || service == m_config->services.end()) {
         return;
     }
-    m_services.kvLink.setLink(store->kvLinkBytesPerSecond, m_services.quotas.daemons());
-    const std::vector<std::string> parts = sharedParts();
-    const double bytesPerToken = service->second.bytesPerToken;
-    const double sharedBytes = static_cast<double>(m_prompt.sharedTokens) * bytesPerToken;
-    const bool isResident = m_services.residents.isResident(choice.id, residentKey(salt), now);
     const ListedEndpoint *home = m_services.endpoints.directory().find(choice.homeWithSameWeights);
-    const bool homeHasIt = home != nullptr && m_services.residents.isResident(home->id, residentKey(salt), now);
-    if (!isResident && homeHasIt) {
-        traits.fetchFrom = home->address;
-    } else if (!isResident && m_services.kvLink.backlog(now) < maxFetchBacklog) {
+    TransferQuestion question;
+    question.engine = choice.id;
+    question.home = home == nullptr ? std::string() : home->id;
+    question.salt = traits.cacheSalt;
+    question.prefixHash = m_prompt.sharedHash;
+    question.sharedParts = sharedParts();
+    question.sharedTokens = m_prompt.sharedTokens;
+    question.ownTokens = m_prompt.ownTokens;
+    question.bytesPerToken = service->second.bytesPerToken;
+    m_services.transfers.setLink(store->kvLinkBytesPerSecond, m_services.quotas.daemons());
+    const TransferPlan plan = m_services.transfers.plan(question, Loop::now());
+    if (plan.fetchFrom == TransferPlan::Source::Store) {
         traits.fetchFrom = store->kvStoreAddress;
-        m_services.kvLink.add(m_services.storedPrefixes.holdsAll(salt, parts, now) ? sharedBytes : 0, now);
+    } else if (plan.fetchFrom == TransferPlan::Source::Home) {
+        traits.fetchFrom = home->address;
     }
-    if (m_services.storedPrefixes.shouldSave(salt, parts, now) && m_services.kvLink.backlog(now) < maxSaveBacklog) {
+    if (plan.savesToStore) {
         traits.saveTo = store->kvStoreAddress;
-        m_services.kvLink.add(sharedBytes + static_cast<double>(m_prompt.ownTokens) * bytesPerToken, now);
     }
 }
 
@@ -303,12 +249,6 @@
         && m_services.freshness.mayRun(m_services.operators.confirmedAt(), Loop::now());
 }
 
-bool ProxyCall::isHopeless(double predictedMs) const
-{
-    const Duration waited = Loop::now() - m_incoming.arrived;
-    return fromSeconds(predictedMs / 1000) + waited > m_route->targetLatency * admittedPercent / 100;
-}
-
 void ProxyCall::send()
 {
     if (!isKeyStillGood()) {
@@ -325,7 +265,9 @@
         fail(ErrorKind::DeadlinePassed);
         return;
     }
-    if (m_isEngineService && m_ledger->tries() == 0 && isHopeless(choice->costMs)) {
+    const Duration waited = Loop::now() - m_incoming.arrived;
+    const Duration predicted = fromSeconds(choice->costMs / millisecondsPerSecond);
+    if (m_isEngineService && m_ledger->tries() == 0 && !Admission::admits(predicted, waited, m_route->targetLatency)) {
         fail(ErrorKind::Overloaded);
         return;
     }
@@ -339,9 +281,6 @@
     call.target = parseSocketAddress(endpoint->address);
     call.poolKey = endpoint->id + "@" + endpoint->address;
     const platform::ForwardTraits traits = traitsFor(*choice);
-    if (!traits.saveTo.empty()) {
-        m_services.storedPrefixes.noteSaving(traits.cacheSalt, sharedParts(), Loop::now());
-    }
     m_cacheSalt = traits.cacheSalt;
     call.head = platform::forwardHead(m_incoming.head, traits);
     call.body = m_incoming.body;
@@ -375,7 +314,7 @@
     if (!m_hasFirstToken) {
         m_hasFirstToken = true;
         if (m_isEngineService && m_answer.isSigned && m_answer.status < serverError) {
-            m_services.residents.noteRead(m_endpoint, residentKey(m_cacheSalt), Loop::now());
+            m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.sharedHash, Loop::now());
         }
         placement().noteFirstToken(m_endpoint, expectedTokens());
     }
@@ -594,10 +533,8 @@
     m_services.metrics.count(std::string("requests ") + outcome);
     m_services.metrics.sample("request", Loop::now() - m_incoming.arrived);
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
-    m_services.loop.timers().unsubscribe(m_quotaTimer);
-    m_services.holders.cancel(m_reservation);
-    if (m_hasPaid && m_ledger.has_value() && m_ledger->isSurelyNotRun()) {
-        m_services.quotas.giveBack(*m_account, m_quotaCost, Loop::now());
+    if (m_payment != nullptr && m_ledger->isSurelyNotRun()) {
+        m_payment->giveBack();
     }
     m_onEnd(m_exchange);
 }
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -2,6 +2,7 @@
 
 #include "core/errorkind.h"
 #include "main/proxy/proxyservices.h"
+#include "main/proxy/quotapayment.h"
 #include "platform/requestcodec.h"
 #include "servers/attemptledger.h"
 #include "servers/eventcutter.h"
@@ -37,10 +38,7 @@
     PlacedPrompt m_prompt;
     TimerService::TimerId m_timeoutTimer = 0;
     TimePoint m_timeoutAt{};
-    TimerService::TimerId m_quotaTimer = 0;
-    QuotaClient::ReservationId m_reservation = 0;
-    double m_quotaCost = 0;
-    bool m_hasPaid = false;
+    std::unique_ptr<QuotaPayment> m_payment;
 
     HttpPool::CallId m_call = 0;
     std::string m_endpoint;
@@ -60,17 +58,13 @@
 
     EndpointPlacement &placement();
     std::optional<ErrorKind> admit();
-    std::optional<ErrorKind> checkKey();
-    void payAndSend();
-    void takeReservation(QuotaClient::Outcome outcome, Duration wait);
+    void pay();
     void send();
-    bool isHopeless(double predictedMs) const;
     bool isKeyStillGood() const;
     std::optional<EndpointPlacement::Choice> choosePlace();
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
     std::string cacheSalt(std::int64_t weightsVersion) const;
     std::vector<std::string> sharedParts() const;
-    std::uint64_t residentKey(const std::string &salt) const;
     void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
     std::int64_t expectedTokens() const;
 
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -27,9 +27,6 @@
 // Without a confirmation for this long callers are better served elsewhere.
 constexpr Duration readyProofAge = std::chrono::milliseconds(3000);
 
-// Engines under load evict what was not used for some seconds.
-constexpr Duration residentMemory = std::chrono::seconds(6);
-
 // Entry daemons that share the retry budget until their number is known.
 constexpr double assumedEntryDaemons = 6;
 constexpr double retryShareUsed = 0.9;
@@ -63,17 +60,14 @@
     , m_endpoints(core.loop(), m_store, m_log, endpointWait, settings.returnGrace)
     , m_engines(EndpointPlacement::Settings())
     , m_plain(plainPlacement())
-    , m_storedPrefixes(StoredPrefixes::Settings())
-    , m_kvStoreWatch(core.loop(), m_pool, m_operators, m_storedPrefixes, m_log)
-    , m_residents(residentMemory)
+    , m_kvStoreWatch(core.loop(), m_pool, m_operators, m_transfers.stored(), m_log)
     , m_retries(settings.retryShare * retryShareUsed, settings.retrySlack * retryShareUsed / assumedEntryDaemons)
     , m_freshness(settings.keyRevocation)
     , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
     , m_holders(core, links)
     , m_engineLinks(core, links, m_operators, m_endpoints, m_engines, m_quotas, m_log, settings.peerPort)
-    , m_services{core.loop(), m_listener,       m_pool,        m_operators, m_endpoints,    m_engines,
-                 m_plain,     m_storedPrefixes, m_residents,   m_kvLink,    m_retries,      m_freshness,
-                 m_quotas,    m_holders,        m_engineLinks, m_log,       core.metrics(), settings.weightsDeadline}
+    , m_services{core.loop(), m_listener,  m_pool,   m_operators, m_endpoints,   m_engines, m_plain,        m_transfers,
+                 m_retries,   m_freshness, m_quotas, m_holders,   m_engineLinks, m_log,     core.metrics(), settings.weightsDeadline}
     , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncoming request) {
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -30,10 +30,8 @@
     EndpointFeed m_endpoints;
     EndpointPlacement m_engines;
     EndpointPlacement m_plain;
-    StoredPrefixes m_storedPrefixes;
+    TransferPlanner m_transfers;
     KvStoreWatch m_kvStoreWatch;
-    EngineResidents m_residents;
-    KvLinkBudget m_kvLink;
     RetryBudget m_retries;
     KeyFreshness m_freshness;
     QuotaGate m_quotas;
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -8,12 +8,10 @@
 #include "main/proxy/enginelinks.h"
 #include "main/proxy/quotaclient.h"
 #include "servers/endpointplacement.h"
-#include "servers/engineresidents.h"
 #include "servers/keyfreshness.h"
-#include "servers/kvlinkbudget.h"
 #include "servers/quotagate.h"
 #include "servers/retrybudget.h"
-#include "servers/storedprefixes.h"
+#include "servers/transferplanner.h"
 
 namespace citronspar
 {
@@ -30,9 +28,7 @@
     EndpointFeed &endpoints;
     EndpointPlacement &engines;
     EndpointPlacement &plain;
-    StoredPrefixes &storedPrefixes;
-    EngineResidents &residents;
-    KvLinkBudget &kvLink;
+    TransferPlanner &transfers;
     RetryBudget &retries;
     KeyFreshness &freshness;
     QuotaGate &quotas;
--- /dev/null
+++ b/servers/requestrouting.cpp
@@ -0,0 +1,40 @@
+#include "servers/requestrouting.h"
+
+namespace citronspar
+{
+
+namespace
+{
+
+RoutedRequest refuse(ErrorKind kind, bool isFresh)
+{
+    RoutedRequest result;
+    result.refusal = isFresh ? kind : ErrorKind::NotFresh;
+    return result;
+}
+
+}
+
+RoutedRequest routeRequest(const TrafficConfig &config, const RoutingQuestion &question, bool isFresh)
+{
+    RoutedRequest result;
+    result.route = config.findRoute(question.host, question.path);
+    if (result.route == nullptr) {
+        return refuse(ErrorKind::UnknownRoute, isFresh);
+    }
+    if (result.route->needsKey) {
+        if (!question.key.has_value()) {
+            return refuse(ErrorKind::KeyMissing, isFresh);
+        }
+        result.account = config.findAccount(*question.key);
+        if (result.account == nullptr || !isFresh) {
+            return refuse(ErrorKind::KeyRejected, isFresh);
+        }
+    }
+    result.service = chooseService(*result.route, question.hash);
+    const auto service = config.services.find(result.service);
+    result.isEngineService = service != config.services.end() && service->second.isEngine;
+    return result;
+}
+
+}
--- a/tests/servers/kvtransfers_test.cpp
+++ b/tests/servers/kvtransfers_test.cpp
@@ -1,6 +1,7 @@
 #include "servers/engineresidents.h"
 #include "servers/kvlinkbudget.h"
 #include "servers/storedprefixes.h"
+#include "servers/transferplanner.h"
 
 #include <catch2/catch.hpp>
 
@@ -66,3 +67,34 @@
     CHECK_FALSE(residents.isResident("other", 7, now));
     CHECK_FALSE(residents.isResident("engine", 7, now + std::chrono::seconds(7)));
 }
+
+TEST_CASE("[TransferPlanner] A prefix is read once, saved once, and fetched where it is near")
+{
+    TransferPlanner planner;
+    planner.setLink(7e10, 5);
+    TransferQuestion question;
+    question.engine = "one";
+    question.salt = "w1";
+    question.prefixHash = 7;
+    question.sharedParts = {"a", "b"};
+    question.sharedTokens = 6300;
+    question.ownTokens = 2900;
+    question.bytesPerToken = 327680;
+    const TransferPlan first = planner.plan(question, now);
+    CHECK(first.fetchFrom == TransferPlan::Source::Store);
+    CHECK(first.savesToStore);
+    CHECK_FALSE(planner.plan(question, now).savesToStore);
+    planner.noteRead("one", "w1", 7, now);
+    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::None);
+    question.engine = "two";
+    question.home = "one";
+    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::Home);
+    // After new weights nothing of before counts.
+    question.salt = "w2";
+    CHECK(planner.plan(question, now).fetchFrom != TransferPlan::Source::Home);
+    question.sharedTokens = 200;
+    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::None);
+    question.sharedTokens = 6300;
+    planner.stored().setReachable(false);
+    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::None);
+}
--- /dev/null
+++ b/tests/servers/requestrouting_test.cpp
@@ -0,0 +1,53 @@
+#include "servers/requestrouting.h"
+
+#include <catch2/catch.hpp>
+
+using namespace citronspar;
+
+namespace
+{
+
+TrafficConfig config()
+{
+    TrafficConfig result;
+    TrafficRoute keyed;
+    keyed.host = "h";
+    keyed.pathPrefix = "/keyed/";
+    keyed.split = {{"pool", 1}};
+    TrafficRoute open = keyed;
+    open.pathPrefix = "/open/";
+    open.needsKey = false;
+    result.routes = {keyed, open};
+    result.services["pool"].isEngine = true;
+    result.accounts.emplace_back();
+    result.accounts.back().name = "mine";
+    result.keys["good"] = 0;
+    return result;
+}
+
+}
+
+TEST_CASE("[RequestRouting] A keyed request runs for the holder of its key, a public one for nobody")
+{
+    const TrafficConfig known = config();
+    const RoutedRequest keyed = routeRequest(known, RoutingQuestion{"h", "/keyed/x", "good", 1}, true);
+    REQUIRE_FALSE(keyed.refusal.has_value());
+    CHECK(keyed.account->name == "mine");
+    CHECK(keyed.service == "pool");
+    CHECK(keyed.isEngineService);
+    CHECK(routeRequest(known, RoutingQuestion{"h", "/open/x", "bad", 1}, true).account == nullptr);
+    CHECK(routeRequest(known, RoutingQuestion{"h", "/keyed/x", "bad", 1}, true).refusal == ErrorKind::KeyRejected);
+    CHECK(routeRequest(known, RoutingQuestion{"h", "/keyed/x", std::nullopt, 1}, true).refusal == ErrorKind::KeyMissing);
+    CHECK(routeRequest(known, RoutingQuestion{"h", "/other/x", "good", 1}, true).refusal == ErrorKind::UnknownRoute);
+}
+
+TEST_CASE("[RequestRouting] A daemon out of touch denies nothing for good and runs nothing under a key")
+{
+    const TrafficConfig known = config();
+    for (const char *path : {"/keyed/x", "/other/x"}) {
+        for (const char *key : {"good", "bad"}) {
+            CHECK(routeRequest(known, RoutingQuestion{"h", path, key, 1}, false).refusal == ErrorKind::NotFresh);
+        }
+    }
+    CHECK_FALSE(routeRequest(known, RoutingQuestion{"h", "/open/x", std::nullopt, 1}, false).refusal.has_value());
+}
