--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -134,6 +134,13 @@
 done
 expect "requests go to the others" grep -q DONE <<<"$(chat 1 sk-alpha 4 'After leaving.')"
 
+echo "== SIGHUP: the settings are read anew and the daemon goes on"
+kill -HUP "${pid_of[entry-1]}" "${pid_of[model-2]}"
+sleep 1.5
+expect "the entry daemon is alive" kill -0 "${pid_of[entry-1]}"
+expect "the endpoint daemon is alive" kill -0 "${pid_of[model-2]}"
+expect "requests are served" grep -q DONE <<<"$(chat 1 sk-alpha 4 'After the signal.')"
+
 echo "== Poison: one request takes at most two engines"
 endpoint model-1 1 engine "$(addr 41)"
 entry entry-3 3
