--- a/main/proxy/enginelinks.cpp
+++ b/main/proxy/enginelinks.cpp
@@ -33,9 +33,7 @@
         }
     });
     m_endpoints.onChange([this]() {
-        const std::set<std::string> addresses = daemonAddresses();
-        if (addresses != m_linked) {
-            m_linked = addresses;
+        if (listedAddresses() != m_addresses) {
             keepLinks();
         }
     });
@@ -44,7 +42,12 @@
     });
 }
 
-std::set<std::string> EngineLinks::daemonAddresses() const
+const std::set<std::string> &EngineLinks::daemonAddresses() const
+{
+    return m_addresses;
+}
+
+std::set<std::string> EngineLinks::listedAddresses() const
 {
     std::set<std::string> addresses;
     const std::shared_ptr<const TrafficConfig> config = m_operators.config();
@@ -64,7 +67,9 @@
 {
     wire::Body hello;
     hello.__set_entryHello(wire::EntryHello());
-    for (const std::string &address : daemonAddresses()) {
+    // A new configuration may have made other services model engines.
+    m_addresses = listedAddresses();
+    for (const std::string &address : m_addresses) {
         m_links.sendTo(address, hello);
     }
 }
@@ -84,10 +89,8 @@
     if (state.entryDaemons > 0) {
         m_quotas.setDaemons(state.entryDaemons);
     }
-    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints.directory().all()) {
-        if (entry.second.address == state.address) {
-            applyState(entry.second, state);
-        }
+    for (const ListedEndpoint *endpoint : m_endpoints.directory().atAddress(state.address)) {
+        applyState(*endpoint, state);
     }
 }
 
--- a/main/proxy/enginelinks.h
+++ b/main/proxy/enginelinks.h
@@ -26,11 +26,12 @@
     QuotaGate &m_quotas;
     DecisionLog &m_log;
     int m_peerPort;
-    /** The addresses to which links were opened last. */
-    std::set<std::string> m_linked;
+    /** The addresses of the daemons beside the listed engines. */
+    std::set<std::string> m_addresses;
     /** The newest state by the address of the engine. */
     std::map<std::string, wire::EngineState> m_states;
 
+    std::set<std::string> listedAddresses() const;
     void takeState(const wire::EngineState &state);
     void applyState(const ListedEndpoint &endpoint, const wire::EngineState &state);
 
@@ -40,7 +41,7 @@
                 QuotaGate &quotas, DecisionLog &log, int peerPort);
 
     /** The addresses of the daemons beside the listed engines. */
-    std::set<std::string> daemonAddresses() const;
+    const std::set<std::string> &daemonAddresses() const;
 
     /** Opens links to daemons that have none. */
     void keepLinks();
--- a/main/proxy/quotapayment.cpp
+++ b/main/proxy/quotapayment.cpp
@@ -28,7 +28,7 @@
         finish(std::nullopt);
         return;
     }
-    const std::set<std::string> holders = m_services.engineLinks.daemonAddresses();
+    const std::set<std::string> &holders = m_services.engineLinks.daemonAddresses();
     m_reservation = m_services.holders.reserve(m_account.name, m_cost, holders, [this](QuotaClient::Outcome outcome, Duration wait) {
         takeReservation(outcome, wait);
     });
--- a/servers/endpointdirectory.cpp
+++ b/servers/endpointdirectory.cpp
@@ -23,7 +23,9 @@
 void EndpointDirectory::put(ListedEndpoint endpoint)
 {
     m_pendingRemovals.erase(endpoint.id);
-    m_endpoints[endpoint.id] = std::move(endpoint);
+    m_isIndexed = false;
+    const std::string id = endpoint.id;
+    m_endpoints[id] = std::move(endpoint);
 }
 
 void EndpointDirectory::remove(const std::string &id, TimePoint now)
@@ -38,6 +40,7 @@
         m_pendingRemovals.emplace(id, m_lastOutage + m_returnGrace);
         return;
     }
+    m_isIndexed = false;
     m_endpoints.erase(found);
 }
 
@@ -67,6 +70,7 @@
             ++it;
             continue;
         }
+        m_isIndexed = false;
         m_endpoints.erase(it->first);
         it = m_pendingRemovals.erase(it);
         isChanged = true;
@@ -80,22 +84,41 @@
     return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
-std::vector<const ListedEndpoint *> EndpointDirectory::available(const std::string &service) const
+void EndpointDirectory::index() const
 {
-    // Of the entries with one address only that of the newest start can be alive.
-    std::map<std::string, std::int64_t> newestStart;
+    m_isIndexed = true;
+    m_availableByService.clear();
+    m_byAddress.clear();
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
-        std::int64_t &newest = newestStart[entry.second.address];
-        newest = std::max(newest, entry.second.startedMs);
+        m_byAddress[entry.second.address].push_back(&entry.second);
     }
-    std::vector<const ListedEndpoint *> result;
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
         const ListedEndpoint &endpoint = entry.second;
-        if (endpoint.service == service && !endpoint.isDraining && endpoint.startedMs == newestStart[endpoint.address]) {
-            result.push_back(&endpoint);
+        // Of the entries with one address only that of the newest start can be alive.
+        const std::vector<const ListedEndpoint *> &sameAddress = m_byAddress[endpoint.address];
+        const bool isNewest = std::all_of(sameAddress.begin(), sameAddress.end(), [&](const ListedEndpoint *other) {
+            return other->startedMs <= endpoint.startedMs;
+        });
+        if (!endpoint.isDraining && isNewest) {
+            m_availableByService[endpoint.service].push_back(&endpoint);
         }
     }
-    return result;
+}
+
+const std::vector<const ListedEndpoint *> &EndpointDirectory::available(const std::string &service) const
+{
+    if (!m_isIndexed) {
+        index();
+    }
+    return m_availableByService[service];
+}
+
+const std::vector<const ListedEndpoint *> &EndpointDirectory::atAddress(const std::string &address) const
+{
+    if (!m_isIndexed) {
+        index();
+    }
+    return m_byAddress[address];
 }
 
 const std::map<std::string, ListedEndpoint> &EndpointDirectory::all() const
--- a/servers/endpointdirectory.h
+++ b/servers/endpointdirectory.h
@@ -42,6 +42,12 @@
     std::map<std::string, TimePoint> m_pendingRemovals;
     TimePoint m_lastOutage = timeNever;
     Duration m_returnGrace;
+    /** What is asked for with each request, worked out anew after a change. */
+    mutable std::map<std::string, std::vector<const ListedEndpoint *>> m_availableByService;
+    mutable std::map<std::string, std::vector<const ListedEndpoint *>> m_byAddress;
+    mutable bool m_isIndexed = false;
+
+    void index() const;
 
 public:
     /** @param returnGrace how long after an outage a removal may be an effect of it */
@@ -61,8 +67,11 @@
 
     const ListedEndpoint *find(const std::string &id) const;
 
-    /** The endpoints of a service that are not draining, by id. */
-    std::vector<const ListedEndpoint *> available(const std::string &service) const;
+    /** The endpoints of a service that may take work, by id. Valid until the next change. */
+    const std::vector<const ListedEndpoint *> &available(const std::string &service) const;
+
+    /** All entries with an address. Valid until the next change. */
+    const std::vector<const ListedEndpoint *> &atAddress(const std::string &address) const;
 
     const std::map<std::string, ListedEndpoint> &all() const;
 };
