Divide the retry slack by the number of entry daemons

It was divided by a constant six, so 29 daemons of a larger deployment could have sent five times what the fleet may.

--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -27,9 +27,9 @@
 // Without a confirmation for this long callers are better served elsewhere.
 constexpr Duration readyProofAge = std::chrono::milliseconds(3000);
 
-// Entry daemons that share the retry budget until their number is known.
-constexpr double assumedEntryDaemons = 6;
+// The part of the retry budget that is used; the rest covers requests that are counted late.
 constexpr double retryShareUsed = 0.9;
+constexpr Duration retryDivisionPeriod = std::chrono::milliseconds(500);
 
 ShutdownPlan::Settings shutdownSettings(Duration grace)
 {
@@ -61,7 +61,7 @@
     , m_engines(EndpointPlacement::Settings())
     , m_plain(plainPlacement())
     , m_kvStoreWatch(core.loop(), m_pool, m_operators, m_transfers.stored(), m_log)
-    , m_retries(settings.retryShare * retryShareUsed, settings.retrySlack * retryShareUsed / assumedEntryDaemons)
+    , m_retries(settings.retryShare * retryShareUsed, settings.retrySlack * retryShareUsed / QuotaGate::assumedDaemons)
     , m_freshness(settings.keyRevocation)
     , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
     , m_holders(core, links)
@@ -89,6 +89,9 @@
     m_readyListener.onRequest([this](HttpListener::ExchangeId id, const HttpIncoming &request) {
         answerReadiness(id, request);
     });
+    core.timers().subscribe(retryDivisionPeriod, [this](TimePoint) {
+        m_retries.setMaximum(m_platform.retrySlack * retryShareUsed / m_quotas.daemons());
+    });
     m_operators.onConfig([this](const TrafficConfig &config) {
         applyLimits(config);
         startEarly();
--- a/servers/retrybudget.cpp
+++ b/servers/retrybudget.cpp
@@ -12,6 +12,12 @@
 {
 }
 
+void RetryBudget::setMaximum(double maximum)
+{
+    m_maximum = maximum;
+    m_tokens = std::min(m_tokens, m_maximum);
+}
+
 void RetryBudget::addRequest()
 {
     m_tokens = std::min(m_maximum, m_tokens + m_share);
--- a/servers/retrybudget.h
+++ b/servers/retrybudget.h
@@ -18,6 +18,9 @@
      */
     RetryBudget(double share, double maximum);
 
+    /** The most retries that can be saved up has changed; what is saved beyond it is lost. */
+    void setMaximum(double maximum);
+
     /** A new request came in. */
     void addRequest();
 
--- a/tests/servers/retrybudget_test.cpp
+++ b/tests/servers/retrybudget_test.cpp
@@ -18,3 +18,19 @@
     CHECK(retries <= 10);
     CHECK(retries >= 9);
 }
+
+TEST_CASE("[RetryBudget] Daemons that share a number of retries never exceed it together")
+{
+    constexpr double shared = 56;
+    for (const int daemons : {1, 5, 29, 340}) {
+        int retries = 0;
+        for (int i = 0; i < daemons; ++i) {
+            RetryBudget budget(0, shared / 8);
+            budget.setMaximum(shared / daemons);
+            while (budget.takeRetry()) {
+                ++retries;
+            }
+        }
+        CHECK(retries <= shared);
+    }
+}
