--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -43,7 +43,6 @@
     /** Requests that came before the daemon knew a configuration and the endpoints. */
     std::map<HttpListener::ExchangeId, HttpIncoming> m_early;
 
-    bool knowsFleet() const;
     void holdEarly(HttpListener::ExchangeId id, HttpIncoming request);
     void startEarly();
     void startCall(HttpListener::ExchangeId id, HttpIncoming request);
@@ -56,6 +55,9 @@
 public:
     ProxyRole(DaemonCore &core, PeerLinks &links, const PlatformSettings &settings);
 
+    /** Whether a configuration and the list of endpoints were read. */
+    bool knowsFleet() const;
+
     bool open() override;
     void applySettings(const Settings &settings) override;
     void beginStop() override;
