Begin an account's bucket nearly empty at each new holder

A daemon that had run for long gave the whole burst to an account that came to it when the list of endpoints changed, though the holder before had just granted it; and a holder to which an account came back had a full bucket again.

--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -51,7 +51,7 @@
     , m_endpoints(core.loop(), m_store, m_log, feedWait, settings.returnGrace)
     , m_engine(m_pool, parseSocketAddress(core.settings().engine))
     , m_rollout(WeightsRollout::Settings())
-    , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow}, Loop::now())
+    , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
     , m_engineAddress(core.settings().engine)
 {
     m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
--- a/servers/quotagate.cpp
+++ b/servers/quotagate.cpp
@@ -11,7 +11,7 @@
 // The part of the tolerance that makes up for what one daemon refuses while
 // another has room. The rest covers requests that overdraw a bucket and the
 // moments in which two daemons take themselves for the holder.
-constexpr double toleranceUsed = 0.75;
+constexpr double toleranceUsed = 0.6;
 
 }
 
--- a/servers/quotaholder.cpp
+++ b/servers/quotaholder.cpp
@@ -8,17 +8,19 @@
 namespace
 {
 
-// A holder that has just started knows nothing of what the one before granted.
-// It begins with this part of the tolerated slack, so that first requests pass.
+// A new holder of an account knows nothing of what the one before granted. It
+// begins with this part of the tolerated slack, so that first requests pass.
 constexpr double startPartOfSlack = 0.1;
 
+// An account that was not asked for here for this long counts as a new one.
+constexpr Duration idleTime = std::chrono::seconds(1);
+
 constexpr double heldPart = 1 - QuotaGate::evenPart;
 
 }
 
-QuotaHolder::QuotaHolder(QuotaTolerance tolerance, TimePoint startedAt)
+QuotaHolder::QuotaHolder(QuotaTolerance tolerance)
     : m_tolerance(tolerance)
-    , m_startedAt(startedAt)
 {
 }
 
@@ -31,7 +33,12 @@
 {
     const double rate = usableRate(account, m_tolerance) * heldPart;
     const double startLevel = std::min(account.burst * heldPart, m_tolerance.slack * startPartOfSlack);
-    const auto inserted = m_buckets.emplace(account.name, Bucket{startLevel, m_startedAt});
+    const auto known = m_buckets.find(account.name);
+    if (known != m_buckets.end() && now - known->second.filledAt > idleTime) {
+        // Another daemon may have held the account meanwhile.
+        m_buckets.erase(known);
+    }
+    const auto inserted = m_buckets.emplace(account.name, Bucket{startLevel, now});
     Bucket &bucket = inserted.first->second;
     const double seconds = std::max(0.0, toSeconds(now - bucket.filledAt));
     bucket.level = std::min(account.burst * heldPart, bucket.level + seconds * rate);
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -12,9 +12,9 @@
 
 /**
  * Holds the part of client accounts' rates that entry daemons ask for. It
- * keeps nothing that must last: what is granted is used at once, so a holder
- * that has just started begins with a nearly empty bucket; the tolerance covers
- * what that gives beyond a holder that had served all along.
+ * keeps nothing that must last: what is granted is used at once. The bucket of an
+ * account that it has not held before is nearly empty, as another daemon may
+ * have granted the whole burst a moment ago; the tolerance covers the rest.
  */
 class QuotaHolder
 {
@@ -35,10 +35,9 @@
 
     QuotaTolerance m_tolerance;
     std::map<std::string, Bucket> m_buckets;
-    TimePoint m_startedAt;
 
 public:
-    QuotaHolder(QuotaTolerance tolerance, TimePoint startedAt);
+    explicit QuotaHolder(QuotaTolerance tolerance);
 
     /** The operators changed what they tolerate. */
     void setTolerance(QuotaTolerance tolerance);
--- a/tests/servers/quota_test.cpp
+++ b/tests/servers/quota_test.cpp
@@ -62,14 +62,19 @@
         for (QuotaGate &gate : gates) {
             gate.setDaemons(5);
         }
-        QuotaHolder holder(tolerance, start);
+        QuotaHolder holder(tolerance);
+        QuotaHolder otherHolder(tolerance);
         std::lognormal_distribution<double> cost(9.0, 0.6);
         std::uniform_real_distribution<double> chance(0, 1);
         WindowMost used;
         TimePoint cutUntil = start;
         for (TimePoint now = start; now < start + std::chrono::seconds(40); now += std::chrono::milliseconds(15)) {
             if (chance(random) < 0.001) {
-                holder = QuotaHolder(tolerance, now);
+                holder = QuotaHolder(tolerance);
+            }
+            if (chance(random) < 0.001) {
+                // The list of endpoints has changed, and another daemon holds the account.
+                std::swap(holder, otherHolder);
             }
             if (chance(random) < 0.002) {
                 cutUntil = now + std::chrono::seconds(3);
@@ -98,7 +103,7 @@
         std::mt19937 random(seed);
         const TrafficAccount small = account(29000);
         std::vector<QuotaGate> gates(5, QuotaGate(tolerance));
-        QuotaHolder holder(tolerance, start - std::chrono::seconds(10));
+        QuotaHolder holder(tolerance);
         for (TimePoint now = start; now < start + std::chrono::seconds(30); now += std::chrono::milliseconds(600)) {
             QuotaGate &gate = gates[random() % 10 == 0 ? 1 : 0];
             const double tokens = 6000 + static_cast<double>(random() % 6000);
@@ -113,7 +118,7 @@
 
 TEST_CASE("[QuotaHolder] A refused request learns when to come back")
 {
-    QuotaHolder holder(tolerance, start - std::chrono::seconds(10));
+    QuotaHolder holder(tolerance);
     const TrafficAccount small = account(10000);
     REQUIRE(holder.reserve(small, 40000, start).isGranted);
     const QuotaHolder::Answer refused = holder.reserve(small, 1000, start);
@@ -133,3 +138,14 @@
     CHECK(quotaCost(byTokens, true, 9000) == 9000);
     CHECK(quotaCost(byTokens, false, 0) == 200);
 }
+
+TEST_CASE("[QuotaHolder] An account that comes to a holder from another one finds it nearly empty")
+{
+    QuotaHolder holder(tolerance);
+    const TrafficAccount large = account(280000);
+    double granted = 0;
+    while (holder.reserve(large, 9000, start).isGranted) {
+        granted += 9000;
+    }
+    CHECK(granted <= 0.25 * tolerance.slack);
+}
