Split the relay of answers from ProxyCall; holders log request ids

The caller's backlog also slows down endpoints whose large held answers are passed on, which only streams did.

A holder's refusal could not be joined with its request: Reserve carries the request's id, and the line says it. The one auto in quotaholder.cpp is typed.

--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -139,7 +139,8 @@
         answer.__set_retryAfterMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(decided.wait).count() + 1);
         if (!decided.isGranted) {
             m_log.write("quota", "refused",
-                        {{"account", question.account},
+                        {{"request", question.request},
+                         {"account", question.account},
                          {"entry", origin.sender},
                          {"cost", std::to_string(question.tokens)},
                          {"waitMs", millisecondsText(decided.wait)},
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -27,13 +27,6 @@
 
 constexpr Duration endpointConnectTimeout = std::chrono::milliseconds(400);
 
-// Answers without a stream are held until they are whole, up to this size, so
-// that a broken one can still be replaced.
-constexpr std::size_t maxHeldBytes = 256 * 1024;
-
-// The endpoint is slowed down while the caller has this much to take.
-constexpr std::size_t maxCallerBacklog = 256 * 1024;
-
 constexpr double millisecondsPerSecond = 1000;
 
 constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
@@ -71,6 +64,7 @@
     , m_incoming(std::move(incoming))
     , m_request(platform::decodeCallerRequest(m_incoming.head))
     , m_onEnd(std::move(onEnd))
+    , m_relay(services, exchange, m_incoming.arrived)
 {
 }
 
@@ -111,16 +105,17 @@
     const double cost
         = quotaCost(*m_account, m_request.hasTokenCounts, static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
     const TimePoint waitsUntil = m_incoming.arrived + m_route->targetLatency / quotaWaitDivisor;
-    m_payment = std::make_unique<QuotaPayment>(m_services, *m_account, cost, waitsUntil, [this](std::optional<ErrorKind> refusal) {
-        if (m_isEnded) {
-            return;
-        }
-        if (refusal.has_value()) {
-            fail(*refusal);
-        } else {
-            send();
-        }
-    });
+    m_payment
+        = std::make_unique<QuotaPayment>(m_services, *m_account, m_request.id, cost, waitsUntil, [this](std::optional<ErrorKind> refusal) {
+              if (m_isEnded) {
+                  return;
+              }
+              if (refusal.has_value()) {
+                  fail(*refusal);
+              } else {
+                  send();
+              }
+          });
     m_payment->pay();
 }
 
@@ -219,9 +214,7 @@
     if (m_account != nullptr) {
         traits.account = m_account->name;
     }
-    if (m_events.hasEvents()) {
-        traits.lastEventId = m_events.lastId();
-    }
+    traits.lastEventId = m_relay.lastEventId().value_or(std::string());
     if (!m_isEngineService) {
         return traits;
     }
@@ -289,7 +282,7 @@
     call.maxIdle = m_route->repeat == RepeatRule::AtMostOnce ? maxIdleAtMostOnce : maxIdleIdempotent;
     HttpPool::Handlers handlers;
     handlers.onHead = [this](const HttpHead &head, std::int64_t length) {
-        takeHead(head, length);
+        m_relay.takeHead(head, length);
     };
     handlers.onData = [this](std::string_view data) {
         takeData(data);
@@ -313,7 +306,7 @@
 {
     if (!m_hasFirstToken) {
         m_hasFirstToken = true;
-        if (m_isEngineService && m_answer.isSigned && m_answer.status < serverError) {
+        if (m_isEngineService && m_relay.answer().isSigned && m_relay.answer().status < serverError) {
             m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.sharedHash, Loop::now());
         }
         placement().noteFirstToken(m_endpoint, expectedTokens());
@@ -331,47 +324,12 @@
     m_call = 0;
 }
 
-void ProxyCall::takeHead(const HttpHead &head, std::int64_t length)
-{
-    m_answerHead = head;
-    m_answerLength = length;
-    m_answer = platform::decodeEndpointAnswer(head);
-    m_buffered.clear();
-}
-
-void ProxyCall::startForwarding()
-{
-    m_isForwarding = true;
-    // A stream may go on at another endpoint, so the length of its first part says nothing.
-    m_services.listener.begin(m_exchange, platform::answerHead(m_answerHead), m_route->isResumable ? -1 : m_answerLength);
-}
-
 void ProxyCall::takeData(std::string_view data)
 {
-    const bool isGoodStream = m_route->isStream && m_answer.isSigned && m_answer.status < 300;
-    if (!isGoodStream) {
-        m_buffered.append(data);
-        if (m_buffered.size() > maxHeldBytes && m_answer.isSigned) {
-            if (!m_isForwarding) {
-                startForwarding();
-            }
-            m_services.listener.write(m_exchange, m_buffered);
-            m_buffered.clear();
-        }
-        return;
-    }
-    noteFirstToken();
-    const std::string whole = m_events.add(data);
-    if (whole.empty()) {
-        return;
-    }
-    if (!m_isForwarding) {
-        m_firstEventAfter = Loop::now() - m_incoming.arrived;
-        m_services.metrics.sample("first event", m_firstEventAfter);
-        startForwarding();
+    if (m_relay.takeData(*m_route, data)) {
+        noteFirstToken();
     }
-    m_services.listener.write(m_exchange, whole);
-    if (m_services.listener.bufferedBytes(m_exchange) > maxCallerBacklog) {
+    if (m_relay.isForwarding() && m_relay.isBackedUp()) {
         m_services.pool.pause(m_call);
     }
 }
@@ -397,19 +355,20 @@
         takeBroken();
         return;
     }
-    if (m_answer.isNotRun) {
-        const bool isOtherInstance = m_answer.isMisdirected && !m_answer.instance.empty() && m_answer.instance != endpoint;
+    if (m_relay.answer().isNotRun) {
+        const bool isOtherInstance
+            = m_relay.answer().isMisdirected && !m_relay.answer().instance.empty() && m_relay.answer().instance != endpoint;
         placement().avoid(endpoint, Loop::now(), isOtherInstance ? avoidAfterOtherInstance : avoidAfterRefusal);
         takeNotRun();
         return;
     }
-    if (!m_answer.isSigned) {
+    if (!m_relay.answer().isSigned) {
         // Not an answer that an endpoint gives to a request.
         placement().noteFailure(endpoint, Loop::now());
         takeBroken();
         return;
     }
-    if (m_answer.status >= serverError) {
+    if (m_relay.answer().status >= serverError) {
         placement().noteFailure(endpoint, Loop::now());
     } else {
         placement().noteSuccess(endpoint);
@@ -425,10 +384,9 @@
 
 void ProxyCall::takeBroken()
 {
-    m_events.dropPartial();
-    m_buffered.clear();
-    if (m_isForwarding && !m_route->isResumable) {
-        m_services.listener.abort(m_exchange);
+    m_relay.dropUnfinished();
+    if (m_relay.isForwarding() && !m_route->isResumable) {
+        m_relay.abort();
         finish("broken off");
         return;
     }
@@ -447,27 +405,21 @@
 
 void ProxyCall::takeComplete()
 {
-    const bool isFailure = m_answer.status >= serverError;
-    if (isFailure && !m_isForwarding && m_route->repeat == RepeatRule::Idempotent && m_ledger->mayTryAgain()
-        && m_services.retries.takeRetry()) {
+    const bool isFailure = m_relay.answer().status >= serverError;
+    const bool isRepeated = isFailure && !m_relay.isForwarding() && m_route->repeat == RepeatRule::Idempotent && m_ledger->mayTryAgain()
+        && m_services.retries.takeRetry();
+    if (isRepeated) {
         send();
         return;
     }
-    if (!m_isForwarding) {
-        m_services.listener.respond(m_exchange, platform::answerHead(m_answerHead), m_events.partial() + m_buffered);
-        finish(isFailure ? "failed by the endpoint" : "answered");
-        return;
-    }
-    if (isFailure) {
+    if (isFailure && m_relay.isForwarding()) {
         // The run that was to go on failed; the caller has part of the first one.
-        m_services.listener.abort(m_exchange);
+        m_relay.abort();
         finish("broken off");
         return;
     }
-    m_services.listener.write(m_exchange, m_buffered);
-    m_services.listener.write(m_exchange, m_events.partial());
-    m_services.listener.finish(m_exchange);
-    finish("answered");
+    m_relay.complete();
+    finish(isFailure ? "failed by the endpoint" : "answered");
 }
 
 void ProxyCall::timeOut()
@@ -491,8 +443,8 @@
         // The answer must not promise what is not known.
         kind = ErrorKind::OutcomeUnknown;
     }
-    if (m_isForwarding) {
-        m_services.listener.abort(m_exchange);
+    if (m_relay.isForwarding()) {
+        m_relay.abort();
         finish("broken off");
         return;
     }
@@ -516,9 +468,9 @@
                           {"route", m_route == nullptr ? "" : m_route->name},
                           {"account", m_account == nullptr ? "" : m_account->name},
                           {"endpoint", m_excluded.empty() ? "" : m_excluded.back()},
-                          {"status", std::to_string(m_answer.status)},
+                          {"status", std::to_string(m_relay.answer().status)},
                           {"tries", std::to_string(m_excluded.size())},
-                          {"firstEventMs", millisecondsText(m_firstEventAfter)},
+                          {"firstEventMs", millisecondsText(m_relay.firstEventAfter())},
                           {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
                           {"configAgeMs", millisecondsText(proofAge)}});
 }
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/errorkind.h"
+#include "main/proxy/answerrelay.h"
 #include "main/proxy/proxyservices.h"
 #include "main/proxy/quotapayment.h"
 #include "platform/requestcodec.h"
 #include "servers/attemptledger.h"
-#include "servers/eventcutter.h"
 #include "servers/trafficconfig.h"
 
 #include <functional>
@@ -29,6 +29,7 @@
     HttpIncoming m_incoming;
     platform::CallerRequest m_request;
     EndHandler m_onEnd;
+    AnswerRelay m_relay;
     std::shared_ptr<const TrafficConfig> m_config;
     const TrafficRoute *m_route = nullptr;
     const TrafficAccount *m_account = nullptr;
@@ -46,14 +47,7 @@
     bool m_hasFirstToken = false;
     std::string m_cacheSalt;
     TimePoint m_sentAt{};
-    Duration m_firstEventAfter{};
 
-    HttpHead m_answerHead;
-    platform::EndpointAnswer m_answer;
-    std::int64_t m_answerLength = -1;
-    std::string m_buffered;
-    bool m_isForwarding = false;
-    EventCutter m_events;
     bool m_isEnded = false;
 
     EndpointPlacement &placement();
@@ -68,13 +62,11 @@
     void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
     std::int64_t expectedTokens() const;
 
-    void takeHead(const HttpHead &head, std::int64_t length);
     void takeData(std::string_view data);
     void takeEnd(HttpCallEnd end);
     void takeNotRun();
     void takeBroken();
     void takeComplete();
-    void startForwarding();
     void leaveEndpoint();
     void noteFirstToken();
     void retryOrFail(ErrorKind kind);
--- a/main/proxy/quotaclient.cpp
+++ b/main/proxy/quotaclient.cpp
@@ -46,8 +46,8 @@
     });
 }
 
-QuotaClient::ReservationId QuotaClient::reserve(const std::string &account, double cost, const std::set<std::string> &holders,
-                                                AnswerHandler handler)
+QuotaClient::ReservationId QuotaClient::reserve(const std::string &request, const std::string &account, double cost,
+                                                const std::set<std::string> &holders, AnswerHandler handler)
 {
     const ReservationId id = ++m_lastId;
     Pending &pending = m_pending[id];
@@ -56,6 +56,7 @@
     wire::Reserve question;
     question.__set_reservationId(id);
     question.__set_account(account);
+    question.__set_request(request);
     question.__set_tokens(static_cast<std::int64_t>(std::ceil(cost)));
     wire::Body body;
     body.__set_reserve(question);
--- a/main/proxy/quotaclient.h
+++ b/main/proxy/quotaclient.h
@@ -44,9 +44,11 @@
 
     /**
      * Asks for @p cost of an account's rate. The answer comes from the loop.
+     * @param request the id of the request that it is for, for the holder's log
      * @param holders the addresses of the daemons of which one holds the account
      */
-    ReservationId reserve(const std::string &account, double cost, const std::set<std::string> &holders, AnswerHandler handler);
+    ReservationId reserve(const std::string &request, const std::string &account, double cost, const std::set<std::string> &holders,
+                          AnswerHandler handler);
 
     /** Ends a question without an answer. */
     void cancel(ReservationId id);
--- a/main/proxy/quotapayment.cpp
+++ b/main/proxy/quotapayment.cpp
@@ -6,9 +6,11 @@
 namespace citronspar
 {
 
-QuotaPayment::QuotaPayment(ProxyServices &services, const TrafficAccount &account, double cost, TimePoint waitsUntil, Handler handler)
+QuotaPayment::QuotaPayment(ProxyServices &services, const TrafficAccount &account, std::string request, double cost, TimePoint waitsUntil,
+                           Handler handler)
     : m_services(services)
     , m_account(account)
+    , m_request(std::move(request))
     , m_cost(cost)
     , m_waitsUntil(waitsUntil)
     , m_handler(std::move(handler))
@@ -29,9 +31,10 @@
         return;
     }
     const std::set<std::string> &holders = m_services.engineLinks.daemonAddresses();
-    m_reservation = m_services.holders.reserve(m_account.name, m_cost, holders, [this](QuotaClient::Outcome outcome, Duration wait) {
-        takeReservation(outcome, wait);
-    });
+    m_reservation
+        = m_services.holders.reserve(m_request, m_account.name, m_cost, holders, [this](QuotaClient::Outcome outcome, Duration wait) {
+              takeReservation(outcome, wait);
+          });
 }
 
 void QuotaPayment::takeReservation(QuotaClient::Outcome outcome, Duration wait)
--- a/main/proxy/quotapayment.h
+++ b/main/proxy/quotapayment.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 
 namespace citronspar
 {
@@ -20,6 +21,7 @@
 private:
     ProxyServices &m_services;
     const TrafficAccount &m_account;
+    std::string m_request;
     double m_cost;
     TimePoint m_waitsUntil;
     Handler m_handler;
@@ -31,8 +33,12 @@
     void finish(std::optional<ErrorKind> refusal);
 
 public:
-    /** @param waitsUntil how long the request may wait for its account's rate */
-    QuotaPayment(ProxyServices &services, const TrafficAccount &account, double cost, TimePoint waitsUntil, Handler handler);
+    /**
+     * @param request the id of the request, for the logs
+     * @param waitsUntil how long the request may wait for its account's rate
+     */
+    QuotaPayment(ProxyServices &services, const TrafficAccount &account, std::string request, double cost, TimePoint waitsUntil,
+                 Handler handler);
     ~QuotaPayment();
 
     QuotaPayment(const QuotaPayment &) = delete;
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -2025,6 +2025,10 @@
 void Reserve::__set_tokens(const int64_t val) {
   this->tokens = val;
 }
+
+void Reserve::__set_request(const std::string& val) {
+  this->request = val;
+}
 std::ostream& operator<<(std::ostream& out, const Reserve& obj)
 {
   obj.printTo(out);
@@ -2077,6 +2081,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2106,6 +2118,10 @@
   xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->request);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2116,6 +2132,7 @@
   swap(a.reservationId, b.reservationId);
   swap(a.account, b.account);
   swap(a.tokens, b.tokens);
+  swap(a.request, b.request);
   swap(a.__isset, b.__isset);
 }
 
@@ -2123,12 +2140,14 @@
   reservationId = other38.reservationId;
   account = other38.account;
   tokens = other38.tokens;
+  request = other38.request;
   __isset = other38.__isset;
 }
 Reserve& Reserve::operator=(const Reserve& other39) {
   reservationId = other39.reservationId;
   account = other39.account;
   tokens = other39.tokens;
+  request = other39.request;
   __isset = other39.__isset;
   return *this;
 }
@@ -2138,6 +2157,7 @@
   out << "reservationId=" << to_string(reservationId);
   out << ", " << "account=" << to_string(account);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "request=" << to_string(request);
   out << ")";
 }
 
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -913,10 +913,11 @@
 std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
 
 typedef struct _Reserve__isset {
-  _Reserve__isset() : reservationId(false), account(false), tokens(false) {}
+  _Reserve__isset() : reservationId(false), account(false), tokens(false), request(false) {}
   bool reservationId :1;
   bool account :1;
   bool tokens :1;
+  bool request :1;
 } _Reserve__isset;
 
 class Reserve : public virtual ::apache::thrift::TBase {
@@ -927,13 +928,18 @@
   Reserve() noexcept
           : reservationId(0),
             account(),
-            tokens(0) {
+            tokens(0),
+            request() {
   }
 
   virtual ~Reserve() noexcept;
   int64_t reservationId;
   std::string account;
   int64_t tokens;
+  /**
+   * The id of the request that is to be paid for, for the log.
+   */
+  std::string request;
 
   _Reserve__isset __isset;
 
@@ -943,6 +949,8 @@
 
   void __set_tokens(const int64_t val);
 
+  void __set_request(const std::string& val);
+
   bool operator == (const Reserve & rhs) const
   {
     if (!(reservationId == rhs.reservationId))
@@ -951,6 +959,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(request == rhs.request))
+      return false;
     return true;
   }
   bool operator != (const Reserve &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -102,6 +102,8 @@
   1: i64 reservationId
   2: string account
   3: i64 tokens
+  /** The id of the request that is to be paid for, for the log. */
+  4: string request
 }
 
 struct ReserveAnswer {
--- a/servers/quotaholder.cpp
+++ b/servers/quotaholder.cpp
@@ -38,7 +38,7 @@
         // Another daemon may have held the account meanwhile.
         m_buckets.erase(known);
     }
-    const auto inserted = m_buckets.emplace(account.name, Bucket{startLevel, now});
+    const std::pair<std::map<std::string, Bucket>::iterator, bool> inserted = m_buckets.emplace(account.name, Bucket{startLevel, now});
     Bucket &bucket = inserted.first->second;
     const double seconds = std::max(0.0, toSeconds(now - bucket.filledAt));
     bucket.level = std::min(account.burst * heldPart, bucket.level + seconds * rate);
