Fetch first parts of prompts from engines that have them; homes per weights version

The fetch asked the store, whose link an entry daemon shares with 23 others, or the home of the whole prefix if this daemon itself had sent requests there; both mostly lacked it.

Now homes are ranked among usable engines with the same weights (while weights spread, each version has its own); a request fetches from the engine that read the prefix last, the store if it has all, the home, the engine that read the first part last, the store for the first part. The store takes first parts before whole prefixes. Daemons that may not follow the store's events save a part once in 8 s.

--- a/main/proxy/kvstorewatch.cpp
+++ b/main/proxy/kvstorewatch.cpp
@@ -66,6 +66,7 @@
 {
     if (!events.has_value()) {
         if (failure == platform::KvEventsFailure::Busy) {
+            m_prefixes.setFollowed(false);
             askAfter(pauseWhenBusy);
             return;
         }
@@ -74,6 +75,7 @@
         return;
     }
     setReachable(true);
+    m_prefixes.setFollowed(true);
     if (events->bootEpoch != m_bootEpoch || events->hasGap) {
         m_log.write("kv store", "contents unknown", {{"epoch", std::to_string(events->bootEpoch)}, {"gap", events->hasGap ? "yes" : "no"}});
         m_prefixes.clear();
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -52,6 +52,9 @@
         } else {
             prompt.ownTokens += part.tokens;
         }
+        if (i == 0 && request.parts.size() > 1) {
+            prompt.templateHash = prompt.sharedHash;
+        }
     }
     return prompt;
 }
@@ -178,22 +181,30 @@
     if (store == nullptr || service == m_config->services.end()) {
         return;
     }
-    const ListedEndpoint *home = m_services.endpoints.directory().find(choice.homeWithSameWeights);
     TransferQuestion question;
     question.engine = choice.id;
-    question.home = home == nullptr ? std::string() : home->id;
+    question.isHome = choice.isHome;
+    question.keeper = choice.likelyKeeper;
+    question.templateKeeper = choice.templateKeeper;
     question.salt = traits.cacheSalt;
     question.prefixHash = m_prompt.sharedHash;
+    question.templateHash = m_prompt.templateHash;
     question.sharedParts = sharedParts();
+    question.templateTokens = m_request.parts.empty() ? 0 : m_request.parts.front().tokens;
     question.sharedTokens = m_prompt.sharedTokens;
     question.ownTokens = m_prompt.ownTokens;
     question.bytesPerToken = service->second.bytesPerToken;
     m_services.transfers.setLink(store->kvLinkBytesPerSecond, m_services.quotas.daemons());
-    const TransferPlan plan = m_services.transfers.plan(question, Loop::now());
-    if (plan.fetchFrom == TransferPlan::Source::Store) {
+    const EndpointDirectory &directory = m_services.endpoints.directory();
+    const EngineResidents::EngineFilter isUsable = [&](const std::string &engine) {
+        return directory.find(engine) != nullptr && m_services.engines.isUsable(engine, Loop::now());
+    };
+    const TransferPlan plan = m_services.transfers.plan(question, isUsable, Loop::now());
+    const ListedEndpoint *source = directory.find(plan.fetchFromEngine);
+    if (plan.fetchesFromStore) {
         traits.fetchFrom = store->kvStoreAddress;
-    } else if (plan.fetchFrom == TransferPlan::Source::Home) {
-        traits.fetchFrom = home->address;
+    } else if (source != nullptr) {
+        traits.fetchFrom = source->address;
     }
     if (plan.savesToStore) {
         traits.saveTo = store->kvStoreAddress;
@@ -298,6 +309,7 @@
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(choice->weightsVersion)},
                           {"home", choice->isHome ? "yes" : "no"},
+                          {"fetch", traits.fetchFrom},
                           {"predictedMs", std::to_string(static_cast<int>(choice->costMs))},
                           {"try", std::to_string(m_ledger->tries())}});
 }
@@ -308,6 +320,7 @@
         m_hasFirstToken = true;
         if (m_isEngineService && m_relay.answer().isSigned && m_relay.answer().status < serverError) {
             m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.sharedHash, Loop::now());
+            m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.templateHash, Loop::now());
         }
         placement().noteFirstToken(m_endpoint, expectedTokens());
     }
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -58,8 +58,8 @@
     std::optional<EndpointPlacement::Choice> choosePlace();
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
     std::string cacheSalt(std::int64_t weightsVersion) const;
-    std::vector<std::string> sharedParts() const;
     void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
+    std::vector<std::string> sharedParts() const;
     std::int64_t expectedTokens() const;
 
     void takeData(std::string_view data);
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -23,6 +23,12 @@
     return view.toldAt != timeNever && now - view.toldAt < m_settings.viewLifetime;
 }
 
+bool EndpointPlacement::isUsable(const std::string &id, TimePoint now) const
+{
+    const auto found = m_engines.find(id);
+    return found != m_engines.end() && isCurrent(found->second.view, now) && !isOut(found->second, now);
+}
+
 std::int64_t EndpointPlacement::versionOf(const Candidate &candidate, TimePoint now) const
 {
     const auto found = m_engines.find(candidate.id);
@@ -53,20 +59,52 @@
     return result;
 }
 
+bool EndpointPlacement::isOut(const Engine &engine, TimePoint now) const
+{
+    return isCurrent(engine.view, now) && (engine.view.isLoading || !engine.view.isAnswering);
+}
+
+EndpointPlacement::KeepersByVersion EndpointPlacement::rankKeepers(std::uint64_t prefixHash, const std::vector<Candidate> &candidates,
+                                                                   TimePoint now) const
+{
+    KeepersByVersion keepers;
+    if (prefixHash == 0) {
+        return keepers;
+    }
+    for (const Candidate &candidate : candidates) {
+        const auto found = m_engines.find(candidate.id);
+        if (found != m_engines.end() && isOut(found->second, now)) {
+            continue;
+        }
+        Keepers &ranked = keepers[versionOf(candidate, now)];
+        const Ranked entry{&candidate, hashBytes(candidate.id, prefixHash)};
+        if (ranked.first.candidate == nullptr || entry.weight > ranked.first.weight) {
+            ranked.second = ranked.first;
+            ranked.first = entry;
+        } else if (ranked.second.candidate == nullptr || entry.weight > ranked.second.weight) {
+            ranked.second = entry;
+        }
+    }
+    return keepers;
+}
+
+std::string EndpointPlacement::keeperBeside(const Choice &choice, const KeepersByVersion &keepers)
+{
+    const auto ranked = keepers.find(choice.weightsVersion);
+    if (ranked == keepers.end() || ranked->second.first.candidate == nullptr) {
+        return std::string();
+    }
+    const bool isFirst = ranked->second.first.candidate->id == choice.id;
+    const Candidate *keeper = isFirst ? ranked->second.second.candidate : ranked->second.first.candidate;
+    return keeper == nullptr ? std::string() : keeper->id;
+}
+
 std::optional<EndpointPlacement::Choice> EndpointPlacement::choose(const PlacedPrompt &prompt, const std::vector<Candidate> &candidates,
                                                                    std::int64_t wantedVersion, bool refusesOld,
                                                                    const std::vector<std::string> &excluded, TimePoint now) const
 {
     static const Engine unknown;
-    const Candidate *home = nullptr;
-    std::uint64_t homeWeight = 0;
-    for (const Candidate &candidate : candidates) {
-        const std::uint64_t weight = hashBytes(candidate.id, prompt.sharedHash);
-        if (prompt.sharedHash != 0 && (home == nullptr || weight > homeWeight)) {
-            home = &candidate;
-            homeWeight = weight;
-        }
-    }
+    const KeepersByVersion keepers = rankKeepers(prompt.sharedHash, candidates, now);
     std::optional<Choice> best;
     double bestCost = std::numeric_limits<double>::max();
     std::uint64_t bestWeight = 0;
@@ -75,27 +113,23 @@
         const Engine &engine = found == m_engines.end() ? unknown : found->second;
         const std::int64_t version = versionOf(candidate, now);
         const bool isOld = version < wantedVersion;
-        const bool isOut = isCurrent(engine.view, now) && (engine.view.isLoading || !engine.view.isAnswering);
-        if (isOut || (isOld && refusesOld) || now < engine.avoidUntil
+        if (isOut(engine, now) || (isOld && refusesOld) || now < engine.avoidUntil
             || std::find(excluded.begin(), excluded.end(), candidate.id) != excluded.end()) {
             continue;
         }
-        const bool isHome = &candidate == home;
+        const auto ranked = keepers.find(version);
+        const bool isHome = ranked != keepers.end() && ranked->second.first.candidate == &candidate;
         const double candidateCost = cost(engine, prompt, isHome, isOld, now);
         const std::uint64_t weight = hashBytes(candidate.id, prompt.sharedHash);
         if (!best.has_value() || candidateCost < bestCost || (candidateCost == bestCost && weight > bestWeight)) {
-            best = Choice{candidate.id, version, isHome, std::string(), candidateCost};
+            best = Choice{candidate.id, version, isHome, std::string(), std::string(), candidateCost};
             bestCost = candidateCost;
             bestWeight = weight;
         }
     }
-    if (best.has_value() && home != nullptr && !best->isHome) {
-        const auto found = m_engines.find(home->id);
-        const bool isUsable = found != m_engines.end() && isCurrent(found->second.view, now) && found->second.view.isAnswering
-            && !found->second.view.isLoading;
-        if (isUsable && versionOf(*home, now) == best->weightsVersion) {
-            best->homeWithSameWeights = home->id;
-        }
+    if (best.has_value()) {
+        best->likelyKeeper = keeperBeside(*best, keepers);
+        best->templateKeeper = keeperBeside(*best, rankKeepers(prompt.templateHash, candidates, now));
     }
     return best;
 }
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -31,13 +31,17 @@
     std::uint64_t sharedHash = 0;
     std::int64_t sharedTokens = 0;
     std::int64_t ownTokens = 0;
+    /** Hash of the first part, which prompts of many prefixes share. */
+    std::uint64_t templateHash = 0;
 };
 
 /**
  * Chooses the engine with the least predicted time to the first token: the
  * prefill that waits there, plus what this prompt would have to read there.
- * Each shared prefix has a home by rendezvous hashing, which all entry daemons
- * know without telling each other, so a prefix is read once and found again.
+ * Each shared prefix has a home by rendezvous hashing among the usable engines
+ * with the same weights, which all entry daemons know without telling each
+ * other, so a prefix is read once and found again. While new weights spread over
+ * the engines, each of the two groups has homes of its own.
  */
 class EndpointPlacement
 {
@@ -71,10 +75,12 @@
     {
         std::string id;
         std::int64_t weightsVersion = 0;
-        /** Whether it is the home of the shared prefix. */
+        /** Whether it is the home of the shared prefix among the engines with its weights. */
         bool isHome = false;
-        /** The engine that is the home of the shared prefix, if it can be asked for its parts; else empty. */
-        std::string homeWithSameWeights;
+        /** The other engine with the same weights that most likely keeps the shared prefix; empty when there is none. */
+        std::string likelyKeeper;
+        /** The same for the first part of the prompt alone. */
+        std::string templateKeeper;
         /** The predicted time to the first token, with what is to be avoided counted as time. */
         double costMs = 0;
     };
@@ -95,7 +101,26 @@
     Settings m_settings;
     std::map<std::string, Engine> m_engines;
 
+    /** An engine that ranks high for a prefix. */
+    struct Ranked
+    {
+        const Candidate *candidate = nullptr;
+        std::uint64_t weight = 0;
+    };
+    /** The two highest ranked usable engines with the same weights. */
+    struct Keepers
+    {
+        Ranked first;
+        Ranked second;
+    };
+    using KeepersByVersion = std::map<std::int64_t, Keepers>;
+
     bool isCurrent(const EngineView &view, TimePoint now) const;
+    /** Whether the engine takes requests, as far as is known. */
+    /** The highest ranked engine with the choice's weights other than the choice itself; empty when there is none. */
+    static std::string keeperBeside(const Choice &choice, const KeepersByVersion &keepers);
+    bool isOut(const Engine &engine, TimePoint now) const;
+    KeepersByVersion rankKeepers(std::uint64_t prefixHash, const std::vector<Candidate> &candidates, TimePoint now) const;
     double cost(const Engine &engine, const PlacedPrompt &prompt, bool isHome, bool hasOldWeights, TimePoint now) const;
 
 public:
@@ -104,6 +129,9 @@
     /** Takes in what the daemon beside an engine tells. */
     void setView(const std::string &id, const EngineView &view);
 
+    /** Whether the engine is known to answer now. */
+    bool isUsable(const std::string &id, TimePoint now) const;
+
     /** The weights version of an engine by the newest word. */
     std::int64_t versionOf(const Candidate &candidate, TimePoint now) const;
 
--- a/servers/engineresidents.cpp
+++ b/servers/engineresidents.cpp
@@ -10,21 +10,52 @@
 {
 }
 
-void EngineResidents::noteRead(const std::string &engine, std::uint64_t prefix, TimePoint now)
+void EngineResidents::sweep(TimePoint now)
 {
-    if (now >= m_nextSweep) {
-        m_nextSweep = now + m_memory;
-        for (auto it = m_readAt.begin(); it != m_readAt.end();) {
-            it = now - it->second > m_memory ? m_readAt.erase(it) : std::next(it);
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + m_memory;
+    for (auto prefix = m_readAt.begin(); prefix != m_readAt.end();) {
+        ReadTimes &times = prefix->second;
+        for (auto it = times.begin(); it != times.end();) {
+            it = now - it->second > m_memory ? times.erase(it) : std::next(it);
         }
+        prefix = times.empty() ? m_readAt.erase(prefix) : std::next(prefix);
     }
-    m_readAt[{engine, prefix}] = now;
+}
+
+void EngineResidents::noteRead(const std::string &engine, std::uint64_t prefix, TimePoint now)
+{
+    sweep(now);
+    m_readAt[prefix][engine] = now;
 }
 
 bool EngineResidents::isResident(const std::string &engine, std::uint64_t prefix, TimePoint now) const
 {
-    const auto found = m_readAt.find({engine, prefix});
-    return found != m_readAt.end() && now - found->second <= m_memory;
+    const auto times = m_readAt.find(prefix);
+    if (times == m_readAt.end()) {
+        return false;
+    }
+    const auto found = times->second.find(engine);
+    return found != times->second.end() && now - found->second <= m_memory;
+}
+
+std::optional<std::string> EngineResidents::lastReader(std::uint64_t prefix, const EngineFilter &filter, TimePoint now) const
+{
+    const auto times = m_readAt.find(prefix);
+    if (times == m_readAt.end()) {
+        return std::nullopt;
+    }
+    std::optional<std::string> last;
+    TimePoint lastAt = now - m_memory;
+    for (const std::pair<const std::string, TimePoint> &reader : times->second) {
+        if (reader.second >= lastAt && filter(reader.first)) {
+            last = reader.first;
+            lastAt = reader.second;
+        }
+    }
+    return last;
 }
 
 }
--- a/servers/engineresidents.h
+++ b/servers/engineresidents.h
@@ -3,30 +3,38 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
-#include <utility>
 
 namespace citronspar
 {
 
-/** Remembers which shared prefixes this daemon had read on which engine lately. */
+/** Remembers which shared prefixes this daemon had read on which engines lately. */
 class EngineResidents
 {
 private:
-    /** Engine id and a hash of prefix and cache salt. */
-    using Key = std::pair<std::string, std::uint64_t>;
+    using ReadTimes = std::map<std::string, TimePoint>;
 
-    std::map<Key, TimePoint> m_readAt;
+    /** By a hash of prefix and cache salt. */
+    std::map<std::uint64_t, ReadTimes> m_readAt;
     TimePoint m_nextSweep{};
     Duration m_memory;
 
+    void sweep(TimePoint now);
+
 public:
+    using EngineFilter = std::function<bool(const std::string &engine)>;
+
     /** @param memory engines evict what was not used for longer */
     explicit EngineResidents(Duration memory);
 
     void noteRead(const std::string &engine, std::uint64_t prefix, TimePoint now);
     bool isResident(const std::string &engine, std::uint64_t prefix, TimePoint now) const;
+
+    /** The engine that read a prefix last, of those that @p filter lets pass. */
+    std::optional<std::string> lastReader(std::uint64_t prefix, const EngineFilter &filter, TimePoint now) const;
 };
 
 }
--- a/servers/storedprefixes.cpp
+++ b/servers/storedprefixes.cpp
@@ -28,6 +28,16 @@
     return m_isReachable;
 }
 
+void StoredPrefixes::setFollowed(bool isFollowed)
+{
+    m_isFollowed = isFollowed;
+}
+
+bool StoredPrefixes::isFollowed() const
+{
+    return m_isFollowed;
+}
+
 void StoredPrefixes::clear()
 {
     m_parts.clear();
@@ -49,7 +59,7 @@
     for (const std::string &part : parts) {
         Part &state = m_parts[{salt, part}];
         if (!state.isConfirmed || now >= state.until) {
-            state = Part{now + m_settings.unconfirmedTime, false};
+            state = Part{now + (m_isFollowed ? m_settings.unconfirmedTime : m_settings.unfollowedTime), false};
         }
     }
 }
--- a/servers/storedprefixes.h
+++ b/servers/storedprefixes.h
@@ -24,6 +24,8 @@
     {
         /** A save that no event has confirmed counts for this long: events are late, and some are lost. */
         Duration unconfirmedTime = std::chrono::milliseconds(1200);
+        /** The same where the store's events are not followed, and nothing confirms any save. */
+        Duration unfollowedTime = std::chrono::seconds(8);
         /** What an event told counts for this long, as the event of its removal may be lost. */
         Duration confirmedTime = std::chrono::seconds(30);
     };
@@ -41,6 +43,7 @@
     Settings m_settings;
     std::map<Key, Part> m_parts;
     bool m_isReachable = true;
+    bool m_isFollowed = true;
     TimePoint m_nextSweep{};
 
     bool holds(const std::string &salt, const std::string &part, TimePoint now) const;
@@ -53,6 +56,10 @@
     void setReachable(bool isReachable);
     bool isReachable() const;
 
+    /** Whether the store's events are followed: it serves only some daemons at once. */
+    void setFollowed(bool isFollowed);
+    bool isFollowed() const;
+
     /** The store has restarted empty, or its events have a gap. */
     void clear();
 
--- a/servers/transferplanner.cpp
+++ b/servers/transferplanner.cpp
@@ -17,6 +17,9 @@
 // Saves make way for fetches.
 constexpr Duration maxSaveBacklog = std::chrono::milliseconds(120);
 
+// A first part that is saved once spares many engines reading it.
+constexpr Duration maxTemplateSaveBacklog = maxFetchBacklog;
+
 // Engines under load evict what was not used for some seconds.
 constexpr Duration residentMemory = std::chrono::seconds(6);
 
@@ -30,6 +33,11 @@
 {
 }
 
+std::vector<std::string> TransferQuestion::templateParts() const
+{
+    return sharedParts.empty() ? std::vector<std::string>() : std::vector<std::string>{sharedParts.front()};
+}
+
 std::uint64_t TransferPlanner::residentKey(const std::string &salt, std::uint64_t prefixHash)
 {
     return hashCombine(prefixHash, hashBytes(salt, saltSeed));
@@ -50,29 +58,69 @@
     m_residents.noteRead(engine, residentKey(salt, prefixHash), now);
 }
 
-TransferPlan TransferPlanner::plan(const TransferQuestion &question, TimePoint now)
+bool TransferPlanner::isLinkFree(TimePoint now)
+{
+    return m_link.backlog(now) < maxFetchBacklog;
+}
+
+void TransferPlanner::planFetch(const TransferQuestion &question, const EngineResidents::EngineFilter &isUsable, TimePoint now,
+                                TransferPlan &plan)
+{
+    const EngineResidents::EngineFilter isOther = [&](const std::string &engine) {
+        return engine != question.engine && isUsable(engine);
+    };
+    const std::optional<std::string> reader = m_residents.lastReader(residentKey(question.salt, question.prefixHash), isOther, now);
+    const std::uint64_t templateKey = residentKey(question.salt, question.templateHash);
+    if (reader.has_value()) {
+        plan.fetchFromEngine = *reader;
+        return;
+    }
+    if (m_stored.isReachable() && m_stored.holdsAll(question.salt, question.sharedParts, now) && isLinkFree(now)) {
+        plan.fetchesFromStore = true;
+        m_link.add(static_cast<double>(question.sharedTokens) * question.bytesPerToken, now);
+        return;
+    }
+    if (!question.isHome || m_residents.isResident(question.engine, templateKey, now)) {
+        // Other daemons may have had it read there. A miss costs a millisecond.
+        plan.fetchFromEngine = question.keeper;
+        return;
+    }
+    const std::optional<std::string> templateReader = m_residents.lastReader(templateKey, isOther, now);
+    if (templateReader.has_value()) {
+        plan.fetchFromEngine = *templateReader;
+    } else if (m_stored.isReachable() && isLinkFree(now)) {
+        plan.fetchesFromStore = true;
+        const bool mayHold = !m_stored.isFollowed() || m_stored.holdsAll(question.salt, question.templateParts(), now);
+        m_link.add(mayHold ? static_cast<double>(question.templateTokens) * question.bytesPerToken : 0, now);
+    } else {
+        plan.fetchFromEngine = question.templateKeeper;
+    }
+}
+
+TransferPlan TransferPlanner::plan(const TransferQuestion &question, const EngineResidents::EngineFilter &isUsable, TimePoint now)
 {
     TransferPlan plan;
-    if (question.sharedTokens < minTransferTokens || !m_stored.isReachable()) {
+    if (question.sharedTokens < minTransferTokens) {
         return plan;
     }
-    const std::uint64_t key = residentKey(question.salt, question.prefixHash);
-    const double sharedBytes = static_cast<double>(question.sharedTokens) * question.bytesPerToken;
-    if (!m_residents.isResident(question.engine, key, now)) {
-        if (!question.home.empty() && m_residents.isResident(question.home, key, now)) {
-            plan.fetchFrom = TransferPlan::Source::Home;
-        } else if (m_link.backlog(now) < maxFetchBacklog) {
-            plan.fetchFrom = TransferPlan::Source::Store;
-            // A fetch of what the store lacks moves nothing.
-            m_link.add(m_stored.holdsAll(question.salt, question.sharedParts, now) ? sharedBytes : 0, now);
-        }
+    if (!m_residents.isResident(question.engine, residentKey(question.salt, question.prefixHash), now)) {
+        planFetch(question, isUsable, now, plan);
+    }
+    planSave(question, now, plan);
+    return plan;
+}
+
+void TransferPlanner::planSave(const TransferQuestion &question, TimePoint now, TransferPlan &plan)
+{
+    if (!m_stored.shouldSave(question.salt, question.sharedParts, now)) {
+        return;
     }
-    if (m_stored.shouldSave(question.salt, question.sharedParts, now) && m_link.backlog(now) < maxSaveBacklog) {
+    const bool isTemplateMissing = m_stored.shouldSave(question.salt, question.templateParts(), now);
+    if (m_link.backlog(now) < (isTemplateMissing ? maxTemplateSaveBacklog : maxSaveBacklog)) {
         plan.savesToStore = true;
-        m_link.add(sharedBytes + static_cast<double>(question.ownTokens) * question.bytesPerToken, now);
+        m_link.add(static_cast<double>(question.sharedTokens + question.ownTokens) * question.bytesPerToken, now);
         m_stored.noteSaving(question.salt, question.sharedParts, now);
     }
-    return plan;
 }
 
 }
--- a/tests/servers/kvtransfers_test.cpp
+++ b/tests/servers/kvtransfers_test.cpp
@@ -68,33 +68,92 @@
     CHECK_FALSE(residents.isResident("engine", 7, now + std::chrono::seconds(7)));
 }
 
-TEST_CASE("[TransferPlanner] A prefix is read once, saved once, and fetched where it is near")
+namespace
+{
+
+TransferQuestion questionAt(const std::string &engine, bool isHome)
 {
-    TransferPlanner planner;
-    planner.setLink(7e10, 5);
     TransferQuestion question;
-    question.engine = "one";
+    question.engine = engine;
+    question.isHome = isHome;
+    question.keeper = "keeper";
+    question.templateKeeper = "template keeper";
     question.salt = "w1";
     question.prefixHash = 7;
+    question.templateHash = 3;
     question.sharedParts = {"a", "b"};
+    question.templateTokens = 2700;
     question.sharedTokens = 6300;
     question.ownTokens = 2900;
     question.bytesPerToken = 327680;
-    const TransferPlan first = planner.plan(question, now);
-    CHECK(first.fetchFrom == TransferPlan::Source::Store);
-    CHECK(first.savesToStore);
-    CHECK_FALSE(planner.plan(question, now).savesToStore);
+    return question;
+}
+
+bool isAnyUsable(const std::string &)
+{
+    return true;
+}
+
+}
+
+TEST_CASE("[TransferPlanner] A prefix is read once, saved once, and fetched where it is near")
+{
+    TransferPlanner planner;
+    planner.setLink(7e10, 5);
+    TransferQuestion question = questionAt("one", true);
+    CHECK(planner.plan(question, isAnyUsable, now).savesToStore);
+    CHECK_FALSE(planner.plan(question, isAnyUsable, now).savesToStore);
     planner.noteRead("one", "w1", 7, now);
-    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::None);
+    const TransferPlan resident = planner.plan(question, isAnyUsable, now);
+    CHECK(resident.fetchFromEngine.empty());
+    CHECK_FALSE(resident.fetchesFromStore);
+    CHECK_FALSE(resident.savesToStore);
+    // Elsewhere it comes from the engine that read it.
     question.engine = "two";
-    question.home = "one";
-    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::Home);
-    // After new weights nothing of before counts.
+    question.isHome = false;
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine == "one");
+    // A dead source would cost some hundred milliseconds; the save has reached the store.
+    const EngineResidents::EngineFilter isNotOne = [](const std::string &engine) {
+        return engine != "one";
+    };
+    CHECK(planner.plan(question, isNotOne, now).fetchesFromStore);
+    // After new weights nothing of before counts, yet other daemons may have had it read at its home.
     question.salt = "w2";
-    CHECK(planner.plan(question, now).fetchFrom != TransferPlan::Source::Home);
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine == "keeper");
     question.sharedTokens = 200;
-    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::None);
-    question.sharedTokens = 6300;
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine.empty());
+}
+
+TEST_CASE("[TransferPlanner] The first part of a new prefix comes from an engine that has it")
+{
+    // Load: after new weights each of hundreds of prefixes is new, and a few first parts are in all of them.
+    TransferPlanner planner;
+    planner.setLink(7e10, 24);
+    int fromStore = 0;
+    for (std::uint64_t prefix = 100; prefix < 400; ++prefix) {
+        const std::string engine = "engine-" + std::to_string(prefix % 45);
+        TransferQuestion question = questionAt(engine, true);
+        question.prefixHash = prefix;
+        const TransferPlan plan = planner.plan(question, isAnyUsable, now);
+        const bool isFirstThere = prefix < 145;
+        fromStore += isFirstThere && plan.fetchesFromStore ? 1 : 0;
+        // The others take it from an engine, and none reads it again.
+        CHECK((!isFirstThere || plan.fetchesFromStore || plan.fetchFromEngine.rfind("engine-", 0) == 0));
+        planner.noteRead(engine, "w1", prefix, now);
+        planner.noteRead(engine, "w1", 3, now);
+    }
+    CHECK(fromStore == 1);
+}
+
+TEST_CASE("[TransferPlanner] The first part comes from the store where no engine is known, and a dead store is left alone")
+{
+    TransferPlanner planner;
+    planner.setLink(7e10, 5);
+    const TransferQuestion question = questionAt("one", true);
+    planner.stored().noteStored("w1", "a", now);
+    CHECK(planner.plan(question, isAnyUsable, now).fetchesFromStore);
     planner.stored().setReachable(false);
-    CHECK(planner.plan(question, now).fetchFrom == TransferPlan::Source::None);
+    const TransferPlan plan = planner.plan(question, isAnyUsable, now);
+    CHECK(plan.fetchFromEngine == "template keeper");
+    CHECK_FALSE(plan.savesToStore);
 }
