Ask the list of endpoints less often while it changes

A pause of 0.6 s after changes takes in several with one question; the leaving of an endpoint may take two seconds to be known. Configuration keeps 0.2 s.

--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -14,7 +14,7 @@
 constexpr Duration storeTimeout = std::chrono::milliseconds(1000);
 
 // Nothing here depends on fresh keys, and calls are priced: a change ends the wait at once.
-constexpr Duration feedWait = std::chrono::seconds(20);
+constexpr StoreFeed::Pace feedPace{std::chrono::seconds(20), std::chrono::milliseconds(200)};
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
 constexpr Duration reportPeriod = std::chrono::milliseconds(100);
@@ -47,8 +47,8 @@
     , m_log(core.settings().daemon)
     , m_pool(core.loop())
     , m_store(m_pool, parseSocketAddress(core.settings().table), storeTimeout)
-    , m_operators(core.loop(), m_store, m_log, feedWait)
-    , m_endpoints(core.loop(), m_store, m_log, feedWait, settings.returnGrace)
+    , m_operators(core.loop(), m_store, m_log, feedPace)
+    , m_endpoints(core.loop(), m_store, m_log, feedPace, settings.returnGrace)
     , m_engine(m_pool, parseSocketAddress(core.settings().engine))
     , m_rollout(WeightsRollout::Settings())
     , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
--- a/main/feeds/endpointfeed.cpp
+++ b/main/feeds/endpointfeed.cpp
@@ -15,10 +15,10 @@
 
 }
 
-EndpointFeed::EndpointFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait, Duration returnGrace)
+EndpointFeed::EndpointFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::Pace pace, Duration returnGrace)
     : m_log(log)
     , m_directory(returnGrace)
-    , m_feed(loop, store, log, platform::names::endpointTable, wait,
+    , m_feed(loop, store, log, platform::names::endpointTable, pace,
              StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows) {
                                      takeSnapshot(rows);
                                  },
--- a/main/feeds/endpointfeed.h
+++ b/main/feeds/endpointfeed.h
@@ -29,7 +29,7 @@
 
 public:
     /** @param returnGrace see EndpointDirectory */
-    EndpointFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait, Duration returnGrace);
+    EndpointFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::Pace pace, Duration returnGrace);
 
     /** Called when an endpoint came, changed or left. */
     void onChange(ChangeHandler handler);
--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -8,9 +8,9 @@
 namespace citronspar
 {
 
-OperatorFeed::OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait)
+OperatorFeed::OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::Pace pace)
     : m_log(log)
-    , m_feed(loop, store, log, platform::names::operatorTable, wait,
+    , m_feed(loop, store, log, platform::names::operatorTable, pace,
              StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows) {
                                      take(rows);
                                  },
--- a/main/feeds/operatorfeed.h
+++ b/main/feeds/operatorfeed.h
@@ -39,7 +39,7 @@
     void takeWeights(const platform::StoreRow &row);
 
 public:
-    OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, Duration wait);
+    OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::Pace pace);
 
     void onConfig(ConfigHandler handler);
     void onWeights(WeightsHandler handler);
--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -14,8 +14,6 @@
 constexpr Duration firstPause = std::chrono::milliseconds(150);
 constexpr Duration longestPause = std::chrono::milliseconds(700);
 
-constexpr Duration pauseAfterChanges = std::chrono::milliseconds(200);
-
 const char *failureName(platform::StoreFailure failure)
 {
     switch (failure) {
@@ -33,12 +31,12 @@
 
 }
 
-StoreFeed::StoreFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, std::string table, Duration wait, Handlers handlers)
+StoreFeed::StoreFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, std::string table, Pace pace, Handlers handlers)
     : m_loop(loop)
     , m_store(store)
     , m_log(log)
     , m_table(std::move(table))
-    , m_wait(wait)
+    , m_pace(pace)
     , m_handlers(std::move(handlers))
 {
 }
@@ -68,7 +66,7 @@
         if (isShort) {
             m_clock.noteShortExchange(askedAt);
         }
-        m_store.feed(m_table, m_version, isShort ? Duration::zero() : m_wait, [this, askedAt](const platform::StoreReply &reply) {
+        m_store.feed(m_table, m_version, isShort ? Duration::zero() : m_pace.wait, [this, askedAt](const platform::StoreReply &reply) {
             takeChanges(reply, askedAt);
         });
         return;
@@ -136,8 +134,7 @@
     if (!m_isFollowing) {
         return;
     }
-    // Changes often come in rows; a short pause takes in several with one call.
-    m_loop.timers().subscribeOnce(hadChanges ? pauseAfterChanges : Duration::zero(), [this](TimePoint) {
+    m_loop.timers().subscribeOnce(hadChanges ? m_pace.pauseAfterChanges : Duration::zero(), [this](TimePoint) {
         ask(std::string());
     });
 }
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -20,6 +20,15 @@
 class StoreFeed
 {
 public:
+    /** How often the store is asked. */
+    struct Pace
+    {
+        /** How long a question waits at the store for a change. */
+        Duration wait{};
+        /** Changes often come in rows; a pause after one takes in several with the next question. */
+        Duration pauseAfterChanges{};
+    };
+
     struct Handlers
     {
         /** All rows of the table. */
@@ -37,7 +46,7 @@
     platform::StoreClient &m_store;
     DecisionLog &m_log;
     std::string m_table;
-    Duration m_wait;
+    Pace m_pace;
     Handlers m_handlers;
     std::int64_t m_version = 0;
     bool m_hasSnapshot = false;
@@ -56,8 +65,7 @@
     void succeed(const platform::StoreReply &reply, TimePoint askedAt, bool hadChanges);
 
 public:
-    /** @param wait how long a question waits at the store for a change */
-    StoreFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, std::string table, Duration wait, Handlers handlers);
+    StoreFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, std::string table, Pace pace, Handlers handlers);
 
     /** Reads the table and follows it from then on. */
     void start();
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -12,8 +12,11 @@
 
 // A question waits this long at the store. It bounds the age of what is known
 // of keys, so it is well below the time in which a withdrawn key must stop.
-constexpr Duration operatorWait = std::chrono::milliseconds(1250);
-constexpr Duration endpointWait = std::chrono::milliseconds(4000);
+constexpr StoreFeed::Pace operatorPace{std::chrono::milliseconds(1250), std::chrono::milliseconds(200)};
+
+// While new weights spread, the list of endpoints changes all the time. What is urgent
+// there, the leaving of an endpoint, may take two seconds to be known.
+constexpr StoreFeed::Pace endpointPace{std::chrono::milliseconds(4000), std::chrono::milliseconds(600)};
 
 constexpr Duration idleCheckPeriod = std::chrono::milliseconds(200);
 
@@ -56,8 +59,8 @@
     , m_listener(core.loop())
     , m_readyListener(core.loop())
     , m_store(m_pool, parseSocketAddress(core.settings().table), storeTimeout)
-    , m_operators(core.loop(), m_store, m_log, operatorWait)
-    , m_endpoints(core.loop(), m_store, m_log, endpointWait, settings.returnGrace)
+    , m_operators(core.loop(), m_store, m_log, operatorPace)
+    , m_endpoints(core.loop(), m_store, m_log, endpointPace, settings.returnGrace)
     , m_engines(EndpointPlacement::Settings())
     , m_plain(plainPlacement())
     , m_kvStoreWatch(core.loop(), m_pool, m_operators, m_transfers.stored(), m_log)
