--- a/main/companion/companionrole.cpp
+++ b/main/companion/companionrole.cpp
@@ -59,6 +59,7 @@
     });
     m_links.onClosed([this](PeerNetwork::LinkId link) {
         m_subscribers.erase(link);
+        m_prompts.dropOwner(link);
     });
     m_operators.onWeights([this](const std::string &, std::int64_t) {
         // The turns of a rollout follow from the list as it is now.
@@ -107,6 +108,10 @@
         takeHello(origin);
     } else if (body.__isset.reserve) {
         answerReserve(origin, body.reserve);
+    } else if (body.__isset.probe) {
+        answerProbe(origin, body.probe);
+    } else {
+        takePrompt(origin, body);
     }
 }
 
@@ -154,6 +159,28 @@
     m_links.send(origin.link, body);
 }
 
+void CompanionRole::answerProbe(const MessageOrigin &origin, const wire::Probe &probe)
+{
+    const TimePoint now = Loop::now();
+    wire::ProbeAnswer answer;
+    answer.__set_probeId(probe.probeId);
+    answer.__set_cachedBlocks(static_cast<std::int32_t>(m_prompts.knownPrefixes(probe.blocks, now)));
+    answer.__set_queuedTokens(m_prompts.pendingTokens(now));
+    wire::Body body;
+    body.__set_probeAnswer(answer);
+    m_links.send(origin.link, body);
+}
+
+void CompanionRole::takePrompt(const MessageOrigin &origin, const wire::Body &body)
+{
+    if (body.__isset.promptSent) {
+        const wire::PromptSent &sent = body.promptSent;
+        m_prompts.noteSent(origin.link, sent.promptId, sent.tokens, sent.prefixes, Loop::now());
+    } else if (body.__isset.promptDone) {
+        m_prompts.noteDone(origin.link, body.promptDone.promptId, body.promptDone.isRead, Loop::now());
+    }
+}
+
 const ListedEndpoint *CompanionRole::ownEntry() const
 {
     const ListedEndpoint *own = nullptr;
@@ -210,6 +237,7 @@
         if (m_report.has_value() && m_report->startedMs != report->startedMs) {
             m_log.write("engine", "restarted", {{"engine", m_engineAddress}, {"weights", std::to_string(report->weightsVersion)}});
             m_rollout.restart();
+            m_prompts.clear();
         }
         m_report = report;
         nameWeights();
--- a/main/companion/companionrole.h
+++ b/main/companion/companionrole.h
@@ -8,6 +8,7 @@
 #include "main/peerlinks.h"
 #include "main/role.h"
 #include "platform/engineclient.h"
+#include "servers/promptledger.h"
 #include "servers/quotaholder.h"
 #include "servers/weightsrollout.h"
 
@@ -33,6 +34,7 @@
     platform::EngineClient m_engine;
     WeightsRollout m_rollout;
     QuotaHolder m_quotas;
+    PromptLedger m_prompts;
     /** The entry daemons, with the time at which each was last heard of. */
     std::map<std::string, TimePoint> m_entryDaemons;
     std::string m_engineAddress;
@@ -51,6 +53,8 @@
     void takeMessage(const MessageOrigin &origin, const wire::Body &body);
     void takeHello(const MessageOrigin &origin);
     void answerReserve(const MessageOrigin &origin, const wire::Reserve &question);
+    void answerProbe(const MessageOrigin &origin, const wire::Probe &probe);
+    void takePrompt(const MessageOrigin &origin, const wire::Body &body);
     int countEntryDaemons(TimePoint now);
     void acquireFence();
     void tick(TimePoint now);
--- a/main/proxy/enginelinks.cpp
+++ b/main/proxy/enginelinks.cpp
@@ -47,6 +47,11 @@
     return m_addresses;
 }
 
+std::string EngineLinks::daemonAddress(const ListedEndpoint &endpoint) const
+{
+    return parseSocketAddress(endpoint.address).host + ":" + std::to_string(m_peerPort);
+}
+
 std::set<std::string> EngineLinks::listedAddresses() const
 {
     std::set<std::string> addresses;
@@ -57,7 +62,7 @@
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints.directory().all()) {
         const auto service = config->services.find(entry.second.service);
         if (service != config->services.end() && service->second.isEngine) {
-            addresses.insert(parseSocketAddress(entry.second.address).host + ":" + std::to_string(m_peerPort));
+            addresses.insert(daemonAddress(entry.second));
         }
     }
     return addresses;
--- a/main/proxy/enginelinks.h
+++ b/main/proxy/enginelinks.h
@@ -43,6 +43,9 @@
     /** The addresses of the daemons beside the listed engines. */
     const std::set<std::string> &daemonAddresses() const;
 
+    /** The address of the daemon beside an endpoint. */
+    std::string daemonAddress(const ListedEndpoint &endpoint) const;
+
     /** Opens links to daemons that have none. */
     void keepLinks();
 };
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -36,6 +36,10 @@
 // objective at the most: a later refusal would only cost the caller time.
 constexpr int quotaWaitDivisor = 8;
 
+// Engines that are asked at once, and how often until the best one has answered.
+constexpr std::size_t probedEngines = 4;
+constexpr int maxProbeRounds = 3;
+
 constexpr std::uint64_t splitSeed = 0x5711;
 constexpr std::uint64_t prefixSeed = 0x9e37;
 constexpr int serverError = 500;
@@ -54,6 +58,7 @@
         }
         if (i == 0 && request.parts.size() > 1) {
             prompt.templateHash = prompt.sharedHash;
+            prompt.templateTokens = part.tokens;
         }
     }
     return prompt;
@@ -74,6 +79,7 @@
 ProxyCall::~ProxyCall()
 {
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
+    m_services.probes.cancel(m_question);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -141,7 +147,7 @@
     return routed.refusal;
 }
 
-std::optional<EndpointPlacement::Choice> ProxyCall::choosePlace()
+std::vector<EndpointPlacement::Choice> ProxyCall::rankPlaces()
 {
     const TimePoint now = Loop::now();
     std::vector<EndpointPlacement::Candidate> candidates;
@@ -153,7 +159,54 @@
     const OperatorFeed::NamedWeightsState named = m_services.operators.namedWeights(m_request.model.empty() ? model : m_request.model);
     const Duration margin = std::chrono::milliseconds(500);
     const bool refusesOld = named.version > 0 && now - named.learntAt > m_services.weightsDeadline - margin;
-    return placement().choose(m_prompt, candidates, m_isEngineService ? named.version : 0, refusesOld, m_excluded, now);
+    const std::int64_t wantedVersion = m_isEngineService ? named.version : 0;
+    return placement().rank({m_prompt, candidates, wantedVersion, refusesOld, m_excluded, m_loads}, probedEngines, now);
+}
+
+void ProxyCall::place()
+{
+    const std::vector<EndpointPlacement::Choice> ranked = rankPlaces();
+    if (ranked.empty()) {
+        fail(ErrorKind::NoEndpoint);
+        return;
+    }
+    const bool isKnown = m_loads.count(ranked.front().id) > 0;
+    if (m_isEngineService && !isKnown && m_probeRounds < maxProbeRounds) {
+        probe(ranked);
+        return;
+    }
+    sendTo(ranked.front());
+}
+
+void ProxyCall::probe(const std::vector<EndpointPlacement::Choice> &ranked)
+{
+    ++m_probeRounds;
+    std::vector<EngineProbes::Target> targets;
+    for (const EndpointPlacement::Choice &choice : ranked) {
+        const ListedEndpoint *endpoint = m_services.endpoints.directory().find(choice.id);
+        if (endpoint != nullptr && m_loads.count(choice.id) == 0) {
+            targets.push_back(EngineProbes::Target{choice.id, m_services.engineLinks.daemonAddress(*endpoint)});
+        }
+    }
+    const EngineProbes::Prefixes prefixes = saltedPrefixes(ranked.front().weightsVersion);
+    m_question = m_services.probes.ask(targets, prefixes, [this](const EndpointPlacement::LoadById &loads) {
+        m_question = 0;
+        for (const std::pair<const std::string, EndpointPlacement::EngineLoad> &load : loads) {
+            m_loads.insert(load);
+            placement().noteProbed(load.first, load.second, Loop::now());
+        }
+        place();
+    });
+}
+
+EngineProbes::Prefixes ProxyCall::saltedPrefixes(std::int64_t weightsVersion) const
+{
+    const std::uint64_t salt = hashBytes(cacheSalt(weightsVersion), prefixSeed);
+    EngineProbes::Prefixes prefixes;
+    for (const std::uint64_t prefix : {m_prompt.templateHash, m_prompt.sharedHash}) {
+        prefixes.push_back(static_cast<std::int64_t>(hashCombine(prefix, salt)));
+    }
+    return prefixes;
 }
 
 std::string ProxyCall::cacheSalt(std::int64_t weightsVersion) const
@@ -186,6 +239,8 @@
     question.isHome = choice.isHome;
     question.keeper = choice.likelyKeeper;
     question.templateKeeper = choice.templateKeeper;
+    question.knownPrefixes = choice.knownPrefixes;
+    question.keeperPrefixes = choice.keeperPrefixes;
     question.salt = traits.cacheSalt;
     question.prefixHash = m_prompt.sharedHash;
     question.templateHash = m_prompt.templateHash;
@@ -254,13 +309,19 @@
 }
 
 void ProxyCall::send()
+{
+    m_loads.clear();
+    m_probeRounds = 0;
+    place();
+}
+
+void ProxyCall::sendTo(const EndpointPlacement::Choice &choice)
 {
     if (!isKeyStillGood()) {
         fail(ErrorKind::NotFresh);
         return;
     }
-    const std::optional<EndpointPlacement::Choice> choice = choosePlace();
-    const ListedEndpoint *endpoint = choice.has_value() ? m_services.endpoints.directory().find(choice->id) : nullptr;
+    const ListedEndpoint *endpoint = m_services.endpoints.directory().find(choice.id);
     if (endpoint == nullptr) {
         fail(ErrorKind::NoEndpoint);
         return;
@@ -270,13 +331,14 @@
         return;
     }
     const Duration waited = Loop::now() - m_incoming.arrived;
-    const Duration predicted = fromSeconds(choice->costMs / millisecondsPerSecond);
-    if (m_isEngineService && m_ledger->tries() == 0 && !Admission::admits(predicted, waited, m_route->targetLatency)) {
+    const Duration predicted = fromSeconds(choice.costMs / millisecondsPerSecond);
+    const Admission::Basis basis = choice.knownPrefixes < 0 ? Admission::Basis::Reported : Admission::Basis::Probed;
+    if (m_isEngineService && m_ledger->tries() == 0 && !Admission::admits(predicted, basis, waited, m_route->targetLatency)) {
         fail(ErrorKind::Overloaded);
         return;
     }
-    m_endpoint = choice->id;
-    m_excluded.push_back(choice->id);
+    m_endpoint = choice.id;
+    m_excluded.push_back(choice.id);
     m_hasFirstToken = false;
     m_sentAt = Loop::now();
     m_ledger->noteSent();
@@ -284,8 +346,9 @@
     HttpCall call;
     call.target = parseSocketAddress(endpoint->address);
     call.poolKey = endpoint->id + "@" + endpoint->address;
-    const platform::ForwardTraits traits = traitsFor(*choice);
+    const platform::ForwardTraits traits = traitsFor(choice);
     m_cacheSalt = traits.cacheSalt;
+    noteSentTo(choice, *endpoint, !traits.fetchFrom.empty());
     call.head = platform::forwardHead(m_incoming.head, traits);
     call.body = m_incoming.body;
     call.echoHeader = platform::echoedHeader();
@@ -307,18 +370,33 @@
                           {"route", m_route->name},
                           {"config", std::to_string(m_config->version)},
                           {"endpoint", m_endpoint},
-                          {"weights", std::to_string(choice->weightsVersion)},
-                          {"home", choice->isHome ? "yes" : "no"},
+                          {"weights", std::to_string(choice.weightsVersion)},
+                          {"home", choice.isHome ? "yes" : "no"},
                           {"fetch", traits.fetchFrom},
-                          {"predictedMs", std::to_string(static_cast<int>(choice->costMs))},
+                          {"predictedMs", std::to_string(static_cast<int>(choice.costMs))},
                           {"try", std::to_string(m_ledger->tries())}});
 }
 
+void ProxyCall::noteSentTo(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, bool isFetching)
+{
+    if (!m_isEngineService) {
+        return;
+    }
+    const auto load = m_loads.find(choice.id);
+    const std::int64_t missing = EndpointPlacement::missingTokens(m_prompt, load == m_loads.end() ? nullptr : &load->second, choice.isHome);
+    // What is fetched is mostly the first part.
+    const std::int64_t fetched = isFetching ? std::min(missing, m_prompt.templateTokens) : 0;
+    m_sentPrompt = m_services.probes.noteSent(m_services.engineLinks.daemonAddress(endpoint), m_prompt.ownTokens + missing - fetched,
+                                              saltedPrefixes(choice.weightsVersion));
+}
+
 void ProxyCall::noteFirstToken()
 {
     if (!m_hasFirstToken) {
         m_hasFirstToken = true;
-        if (m_isEngineService && m_relay.answer().isSigned && m_relay.answer().status < serverError) {
+        const bool isRead = m_isEngineService && m_relay.answer().isSigned && m_relay.answer().status < serverError;
+        m_services.probes.noteDone(m_sentPrompt, isRead);
+        if (isRead) {
             m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.sharedHash, Loop::now());
             m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.templateHash, Loop::now());
         }
@@ -438,6 +516,7 @@
 void ProxyCall::timeOut()
 {
     m_timeoutTimer = 0;
+    m_services.probes.cancel(m_question);
     m_services.pool.cancel(m_call);
     leaveEndpoint();
     fail(m_ledger->isSurelyNotRun() ? ErrorKind::NoEndpoint : ErrorKind::TimedOut);
@@ -445,6 +524,7 @@
 
 void ProxyCall::callerGone()
 {
+    m_services.probes.cancel(m_question);
     m_services.pool.cancel(m_call);
     leaveEndpoint();
     finish("caller gone");
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -41,6 +41,12 @@
     TimePoint m_timeoutAt{};
     std::unique_ptr<QuotaPayment> m_payment;
 
+    /** What daemons beside engines answered for this try, and how often they were asked. */
+    EndpointPlacement::LoadById m_loads;
+    int m_probeRounds = 0;
+    EngineProbes::QuestionId m_question = 0;
+    EngineProbes::PromptId m_sentPrompt = 0;
+
     HttpPool::CallId m_call = 0;
     std::string m_endpoint;
     std::vector<std::string> m_excluded;
@@ -55,7 +61,14 @@
     void pay();
     void send();
     bool isKeyStillGood() const;
-    std::optional<EndpointPlacement::Choice> choosePlace();
+    /** The best endpoints for the next try. */
+    std::vector<EndpointPlacement::Choice> rankPlaces();
+    /** Chooses an endpoint, after asking the daemons beside the best engines. */
+    void place();
+    void probe(const std::vector<EndpointPlacement::Choice> &ranked);
+    void sendTo(const EndpointPlacement::Choice &choice);
+    EngineProbes::Prefixes saltedPrefixes(std::int64_t weightsVersion) const;
+    void noteSentTo(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, bool isFetching);
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
     std::string cacheSalt(std::int64_t weightsVersion) const;
     void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -69,8 +69,24 @@
     , m_quotas(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
     , m_holders(core, links)
     , m_engineLinks(core, links, m_operators, m_endpoints, m_engines, m_quotas, m_log, settings.peerPort)
-    , m_services{core.loop(), m_listener,  m_pool,   m_operators, m_endpoints,   m_engines, m_plain,        m_transfers,
-                 m_retries,   m_freshness, m_quotas, m_holders,   m_engineLinks, m_log,     core.metrics(), settings.weightsDeadline}
+    , m_probes(core, links)
+    , m_services{core.loop(),
+                 m_listener,
+                 m_pool,
+                 m_operators,
+                 m_endpoints,
+                 m_engines,
+                 m_plain,
+                 m_transfers,
+                 m_retries,
+                 m_freshness,
+                 m_quotas,
+                 m_holders,
+                 m_engineLinks,
+                 m_probes,
+                 m_log,
+                 core.metrics(),
+                 settings.weightsDeadline}
     , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncoming request) {
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -37,6 +37,7 @@
     QuotaGate m_quotas;
     QuotaClient m_holders;
     EngineLinks m_engineLinks;
+    EngineProbes m_probes;
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
     ShutdownPlan m_shutdown;
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -6,6 +6,7 @@
 #include "main/feeds/endpointfeed.h"
 #include "main/feeds/operatorfeed.h"
 #include "main/proxy/enginelinks.h"
+#include "main/proxy/engineprobes.h"
 #include "main/proxy/quotaclient.h"
 #include "servers/endpointplacement.h"
 #include "servers/keyfreshness.h"
@@ -34,6 +35,7 @@
     QuotaGate &quotas;
     QuotaClient &holders;
     EngineLinks &engineLinks;
+    EngineProbes &probes;
     DecisionLog &log;
     Metrics &metrics;
     Duration weightsDeadline;
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -3486,6 +3486,270 @@
 }
 
 
+PromptSent::~PromptSent() noexcept {
+}
+
+
+void PromptSent::__set_promptId(const int64_t val) {
+  this->promptId = val;
+}
+
+void PromptSent::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void PromptSent::__set_prefixes(const std::vector<int64_t> & val) {
+  this->prefixes = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptSent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptSent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptId);
+          this->__isset.promptId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->prefixes.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->prefixes.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += iprot->readI64(this->prefixes[_i68]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.prefixes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptSent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptSent");
+
+  xfer += oprot->writeFieldBegin("promptId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->promptId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
+    std::vector<int64_t> ::const_iterator _iter69;
+    for (_iter69 = this->prefixes.begin(); _iter69 != this->prefixes.end(); ++_iter69)
+    {
+      xfer += oprot->writeI64((*_iter69));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptSent &a, PromptSent &b) {
+  using ::std::swap;
+  swap(a.promptId, b.promptId);
+  swap(a.tokens, b.tokens);
+  swap(a.prefixes, b.prefixes);
+  swap(a.__isset, b.__isset);
+}
+
+PromptSent::PromptSent(const PromptSent& other70) {
+  promptId = other70.promptId;
+  tokens = other70.tokens;
+  prefixes = other70.prefixes;
+  __isset = other70.__isset;
+}
+PromptSent& PromptSent::operator=(const PromptSent& other71) {
+  promptId = other71.promptId;
+  tokens = other71.tokens;
+  prefixes = other71.prefixes;
+  __isset = other71.__isset;
+  return *this;
+}
+void PromptSent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptSent(";
+  out << "promptId=" << to_string(promptId);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "prefixes=" << to_string(prefixes);
+  out << ")";
+}
+
+
+PromptDone::~PromptDone() noexcept {
+}
+
+
+void PromptDone::__set_promptId(const int64_t val) {
+  this->promptId = val;
+}
+
+void PromptDone::__set_isRead(const bool val) {
+  this->isRead = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptDone& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptDone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptId);
+          this->__isset.promptId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRead);
+          this->__isset.isRead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptDone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptDone");
+
+  xfer += oprot->writeFieldBegin("promptId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->promptId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isRead", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isRead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptDone &a, PromptDone &b) {
+  using ::std::swap;
+  swap(a.promptId, b.promptId);
+  swap(a.isRead, b.isRead);
+  swap(a.__isset, b.__isset);
+}
+
+PromptDone::PromptDone(const PromptDone& other72) noexcept {
+  promptId = other72.promptId;
+  isRead = other72.isRead;
+  __isset = other72.__isset;
+}
+PromptDone& PromptDone::operator=(const PromptDone& other73) noexcept {
+  promptId = other73.promptId;
+  isRead = other73.isRead;
+  __isset = other73.__isset;
+  return *this;
+}
+void PromptDone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptDone(";
+  out << "promptId=" << to_string(promptId);
+  out << ", " << "isRead=" << to_string(isRead);
+  out << ")";
+}
+
+
 Body::~Body() noexcept {
 }
 
@@ -3594,6 +3858,16 @@
   this->crashSuspect = val;
 __isset.crashSuspect = true;
 }
+
+void Body::__set_promptSent(const PromptSent& val) {
+  this->promptSent = val;
+__isset.promptSent = true;
+}
+
+void Body::__set_promptDone(const PromptDone& val) {
+  this->promptDone = val;
+__isset.promptDone = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -3790,6 +4064,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->promptSent.read(iprot);
+          this->__isset.promptSent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->promptDone.read(iprot);
+          this->__isset.promptDone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3912,6 +4202,16 @@
     xfer += this->crashSuspect.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.promptSent) {
+    xfer += oprot->writeFieldBegin("promptSent", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->promptSent.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.promptDone) {
+    xfer += oprot->writeFieldBegin("promptDone", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->promptDone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3940,56 +4240,62 @@
   swap(a.engineState, b.engineState);
   swap(a.entryHello, b.entryHello);
   swap(a.crashSuspect, b.crashSuspect);
+  swap(a.promptSent, b.promptSent);
+  swap(a.promptDone, b.promptDone);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other64) {
-  probe = other64.probe;
-  probeAnswer = other64.probeAnswer;
-  dispatch = other64.dispatch;
-  dispatchRefused = other64.dispatchRefused;
-  streamDelta = other64.streamDelta;
-  streamEnd = other64.streamEnd;
-  cancel = other64.cancel;
-  credit = other64.credit;
-  freshnessQuestion = other64.freshnessQuestion;
-  freshnessAnswer = other64.freshnessAnswer;
-  configFetch = other64.configFetch;
-  configPush = other64.configPush;
-  reserve = other64.reserve;
-  reserveAnswer = other64.reserveAnswer;
-  giveBack = other64.giveBack;
-  suspectReport = other64.suspectReport;
-  timelineQuestion = other64.timelineQuestion;
-  timelineAnswer = other64.timelineAnswer;
-  engineState = other64.engineState;
-  entryHello = other64.entryHello;
-  crashSuspect = other64.crashSuspect;
-  __isset = other64.__isset;
-}
-Body& Body::operator=(const Body& other65) {
-  probe = other65.probe;
-  probeAnswer = other65.probeAnswer;
-  dispatch = other65.dispatch;
-  dispatchRefused = other65.dispatchRefused;
-  streamDelta = other65.streamDelta;
-  streamEnd = other65.streamEnd;
-  cancel = other65.cancel;
-  credit = other65.credit;
-  freshnessQuestion = other65.freshnessQuestion;
-  freshnessAnswer = other65.freshnessAnswer;
-  configFetch = other65.configFetch;
-  configPush = other65.configPush;
-  reserve = other65.reserve;
-  reserveAnswer = other65.reserveAnswer;
-  giveBack = other65.giveBack;
-  suspectReport = other65.suspectReport;
-  timelineQuestion = other65.timelineQuestion;
-  timelineAnswer = other65.timelineAnswer;
-  engineState = other65.engineState;
-  entryHello = other65.entryHello;
-  crashSuspect = other65.crashSuspect;
-  __isset = other65.__isset;
+Body::Body(const Body& other74) {
+  probe = other74.probe;
+  probeAnswer = other74.probeAnswer;
+  dispatch = other74.dispatch;
+  dispatchRefused = other74.dispatchRefused;
+  streamDelta = other74.streamDelta;
+  streamEnd = other74.streamEnd;
+  cancel = other74.cancel;
+  credit = other74.credit;
+  freshnessQuestion = other74.freshnessQuestion;
+  freshnessAnswer = other74.freshnessAnswer;
+  configFetch = other74.configFetch;
+  configPush = other74.configPush;
+  reserve = other74.reserve;
+  reserveAnswer = other74.reserveAnswer;
+  giveBack = other74.giveBack;
+  suspectReport = other74.suspectReport;
+  timelineQuestion = other74.timelineQuestion;
+  timelineAnswer = other74.timelineAnswer;
+  engineState = other74.engineState;
+  entryHello = other74.entryHello;
+  crashSuspect = other74.crashSuspect;
+  promptSent = other74.promptSent;
+  promptDone = other74.promptDone;
+  __isset = other74.__isset;
+}
+Body& Body::operator=(const Body& other75) {
+  probe = other75.probe;
+  probeAnswer = other75.probeAnswer;
+  dispatch = other75.dispatch;
+  dispatchRefused = other75.dispatchRefused;
+  streamDelta = other75.streamDelta;
+  streamEnd = other75.streamEnd;
+  cancel = other75.cancel;
+  credit = other75.credit;
+  freshnessQuestion = other75.freshnessQuestion;
+  freshnessAnswer = other75.freshnessAnswer;
+  configFetch = other75.configFetch;
+  configPush = other75.configPush;
+  reserve = other75.reserve;
+  reserveAnswer = other75.reserveAnswer;
+  giveBack = other75.giveBack;
+  suspectReport = other75.suspectReport;
+  timelineQuestion = other75.timelineQuestion;
+  timelineAnswer = other75.timelineAnswer;
+  engineState = other75.engineState;
+  entryHello = other75.entryHello;
+  crashSuspect = other75.crashSuspect;
+  promptSent = other75.promptSent;
+  promptDone = other75.promptDone;
+  __isset = other75.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4016,6 +4322,8 @@
   out << ", " << "engineState="; (__isset.engineState ? (out << to_string(engineState)) : (out << "<null>"));
   out << ", " << "entryHello="; (__isset.entryHello ? (out << to_string(entryHello)) : (out << "<null>"));
   out << ", " << "crashSuspect="; (__isset.crashSuspect ? (out << to_string(crashSuspect)) : (out << "<null>"));
+  out << ", " << "promptSent="; (__isset.promptSent ? (out << to_string(promptSent)) : (out << "<null>"));
+  out << ", " << "promptDone="; (__isset.promptDone ? (out << to_string(promptDone)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4163,21 +4471,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other66) {
-  sender = other66.sender;
-  incarnation = other66.incarnation;
-  wallMicroseconds = other66.wallMicroseconds;
-  wallCounter = other66.wallCounter;
-  body = other66.body;
-  __isset = other66.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other67) {
-  sender = other67.sender;
-  incarnation = other67.incarnation;
-  wallMicroseconds = other67.wallMicroseconds;
-  wallCounter = other67.wallCounter;
-  body = other67.body;
-  __isset = other67.__isset;
+Envelope::Envelope(const Envelope& other76) {
+  sender = other76.sender;
+  incarnation = other76.incarnation;
+  wallMicroseconds = other76.wallMicroseconds;
+  wallCounter = other76.wallCounter;
+  body = other76.body;
+  __isset = other76.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other77) {
+  sender = other77.sender;
+  incarnation = other77.incarnation;
+  wallMicroseconds = other77.wallMicroseconds;
+  wallCounter = other77.wallCounter;
+  body = other77.body;
+  __isset = other77.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -67,6 +67,10 @@
 
 class CrashSuspect;
 
+class PromptSent;
+
+class PromptDone;
+
 class Body;
 
 class Envelope;
@@ -1555,8 +1559,126 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
+typedef struct _PromptSent__isset {
+  _PromptSent__isset() : promptId(false), tokens(false), prefixes(false) {}
+  bool promptId :1;
+  bool tokens :1;
+  bool prefixes :1;
+} _PromptSent__isset;
+
+/**
+ * An entry daemon hands a prompt to the engine beside the receiver.
+ */
+class PromptSent : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptSent(const PromptSent&);
+  PromptSent& operator=(const PromptSent&);
+  PromptSent() noexcept
+             : promptId(0),
+               tokens(0) {
+  }
+
+  virtual ~PromptSent() noexcept;
+  int64_t promptId;
+  /**
+   * Tokens that the engine has to read.
+   */
+  int64_t tokens;
+  /**
+   * Hashes of the ever longer beginnings of the prompt that others share.
+   */
+  std::vector<int64_t>  prefixes;
+
+  _PromptSent__isset __isset;
+
+  void __set_promptId(const int64_t val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_prefixes(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptSent & rhs) const
+  {
+    if (!(promptId == rhs.promptId))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(prefixes == rhs.prefixes))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptSent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptSent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptSent &a, PromptSent &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptSent& obj);
+
+typedef struct _PromptDone__isset {
+  _PromptDone__isset() : promptId(false), isRead(false) {}
+  bool promptId :1;
+  bool isRead :1;
+} _PromptDone__isset;
+
+/**
+ * The engine has read a prompt, or will not.
+ */
+class PromptDone : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptDone(const PromptDone&) noexcept;
+  PromptDone& operator=(const PromptDone&) noexcept;
+  PromptDone() noexcept
+             : promptId(0),
+               isRead(0) {
+  }
+
+  virtual ~PromptDone() noexcept;
+  int64_t promptId;
+  bool isRead;
+
+  _PromptDone__isset __isset;
+
+  void __set_promptId(const int64_t val);
+
+  void __set_isRead(const bool val);
+
+  bool operator == (const PromptDone & rhs) const
+  {
+    if (!(promptId == rhs.promptId))
+      return false;
+    if (!(isRead == rhs.isRead))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptDone &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptDone & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptDone &a, PromptDone &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptDone& obj);
+
 typedef struct _Body__isset {
-  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false) {}
+  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false), promptSent(false), promptDone(false) {}
   bool probe :1;
   bool probeAnswer :1;
   bool dispatch :1;
@@ -1578,6 +1700,8 @@
   bool engineState :1;
   bool entryHello :1;
   bool crashSuspect :1;
+  bool promptSent :1;
+  bool promptDone :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -1610,6 +1734,8 @@
   EngineState engineState;
   EntryHello entryHello;
   CrashSuspect crashSuspect;
+  PromptSent promptSent;
+  PromptDone promptDone;
 
   _Body__isset __isset;
 
@@ -1655,6 +1781,10 @@
 
   void __set_crashSuspect(const CrashSuspect& val);
 
+  void __set_promptSent(const PromptSent& val);
+
+  void __set_promptDone(const PromptDone& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.probe != rhs.__isset.probe)
@@ -1741,6 +1871,14 @@
       return false;
     else if (__isset.crashSuspect && !(crashSuspect == rhs.crashSuspect))
       return false;
+    if (__isset.promptSent != rhs.__isset.promptSent)
+      return false;
+    else if (__isset.promptSent && !(promptSent == rhs.promptSent))
+      return false;
+    if (__isset.promptDone != rhs.__isset.promptDone)
+      return false;
+    else if (__isset.promptDone && !(promptDone == rhs.promptDone))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -175,6 +175,21 @@
   2: i64 crash
 }
 
+/** An entry daemon hands a prompt to the engine beside the receiver. */
+struct PromptSent {
+  1: i64 promptId
+  /** Tokens that the engine has to read. */
+  2: i64 tokens
+  /** Hashes of the ever longer beginnings of the prompt that others share. */
+  3: list<i64> prefixes
+}
+
+/** The engine has read a prompt, or will not. */
+struct PromptDone {
+  1: i64 promptId
+  2: bool isRead
+}
+
 union Body {
   1: Probe probe
   2: ProbeAnswer probeAnswer
@@ -197,6 +212,8 @@
   19: EngineState engineState
   20: EntryHello entryHello
   21: CrashSuspect crashSuspect
+  22: PromptSent promptSent
+  23: PromptDone promptDone
 }
 
 /** One frame between two daemons. */
--- a/servers/admission.h
+++ b/servers/admission.h
@@ -13,9 +13,20 @@
  */
 class Admission
 {
+public:
+    /** What a prediction rests on. */
+    enum class Basis {
+        /** The daemon beside the engine told a moment ago what waits there. */
+        Probed,
+        /** Only older reports, which miss about half of the true time under load. */
+        Reported,
+    };
+
 private:
-    // Predictions are about half of the true time under load.
-    static constexpr int admittedPercent = 60;
+    static constexpr int admittedPercent(Basis basis)
+    {
+        return basis == Basis::Probed ? 100 : 60;
+    }
 
 public:
     /**
@@ -23,9 +34,9 @@
      * @param waited since the request arrived
      * @param objective of the route, for the first token
      */
-    static bool admits(Duration predicted, Duration waited, Duration objective)
+    static bool admits(Duration predicted, Basis basis, Duration waited, Duration objective)
     {
-        return predicted + waited <= objective * admittedPercent / 100;
+        return predicted + waited <= objective * admittedPercent(basis) / 100;
     }
 };
 
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -38,18 +38,39 @@
     return std::max(candidate.listedVersion, found->second.view.weightsVersion);
 }
 
-double EndpointPlacement::cost(const Engine &engine, const PlacedPrompt &prompt, bool isHome, bool hasOldWeights, TimePoint now) const
+double EndpointPlacement::queueCost(const Engine &engine, TimePoint now) const
 {
+    if (engine.probedAt != timeNever && now - engine.probedAt < m_settings.probeLifetime) {
+        return static_cast<double>(std::max(engine.probedTokens, engine.pendingTokens)) / m_settings.prefillTokensPerMs;
+    }
     double result = static_cast<double>(engine.pendingTokens) / m_settings.prefillTokensPerMs;
-    result += engine.inFlight * m_settings.runningCostMs;
     if (isCurrent(engine.view, now)) {
-        const std::int64_t others = std::max<std::int64_t>(0, engine.view.running + engine.view.waiting - engine.inFlight);
         const std::int64_t othersWaiting = std::max<std::int64_t>(0, engine.view.waiting - engine.pendingRequests);
-        result += static_cast<double>(others) * m_settings.runningCostMs + static_cast<double>(othersWaiting) * m_settings.waitingCostMs;
+        result += static_cast<double>(othersWaiting) * m_settings.waitingCostMs;
+    }
+    return result;
+}
+
+std::int64_t EndpointPlacement::missingTokens(const PlacedPrompt &prompt, const EngineLoad *load, bool isHome)
+{
+    if (load == nullptr) {
+        return isHome ? 0 : prompt.sharedTokens;
     }
-    if (!isHome) {
-        result += static_cast<double>(prompt.sharedTokens) / m_settings.prefillTokensPerMs;
+    if (load->knownPrefixes == 0) {
+        return prompt.sharedTokens;
+    }
+    return load->knownPrefixes == 1 ? prompt.sharedTokens - prompt.templateTokens : 0;
+}
+
+double EndpointPlacement::cost(const Engine &engine, std::int64_t missingTokens, bool hasOldWeights, TimePoint now) const
+{
+    double result = queueCost(engine, now);
+    result += engine.inFlight * m_settings.runningCostMs;
+    if (isCurrent(engine.view, now)) {
+        const std::int64_t others = std::max<std::int64_t>(0, engine.view.running + engine.view.waiting - engine.inFlight);
+        result += static_cast<double>(others) * m_settings.runningCostMs;
     }
+    result += static_cast<double>(missingTokens) / m_settings.prefillTokensPerMs;
     if (hasOldWeights) {
         result += m_settings.oldWeightsCostMs;
     }
@@ -99,47 +120,90 @@
     return keeper == nullptr ? std::string() : keeper->id;
 }
 
-std::optional<EndpointPlacement::Choice> EndpointPlacement::choose(const PlacedPrompt &prompt, const std::vector<Candidate> &candidates,
-                                                                   std::int64_t wantedVersion, bool refusesOld,
-                                                                   const std::vector<std::string> &excluded, TimePoint now) const
+std::vector<EndpointPlacement::Choice> EndpointPlacement::rank(const Question &question, std::size_t count, TimePoint now) const
 {
     static const Engine unknown;
-    const KeepersByVersion keepers = rankKeepers(prompt.sharedHash, candidates, now);
-    std::optional<Choice> best;
-    double bestCost = std::numeric_limits<double>::max();
-    std::uint64_t bestWeight = 0;
-    for (const Candidate &candidate : candidates) {
+    const PlacedPrompt &prompt = question.prompt;
+    const KeepersByVersion keepers = rankKeepers(prompt.sharedHash, question.candidates, now);
+    /** A choice with the weight that decides between equal costs. */
+    using Weighted = std::pair<std::uint64_t, Choice>;
+    std::vector<Weighted> usable;
+    for (const Candidate &candidate : question.candidates) {
         const auto found = m_engines.find(candidate.id);
         const Engine &engine = found == m_engines.end() ? unknown : found->second;
         const std::int64_t version = versionOf(candidate, now);
-        const bool isOld = version < wantedVersion;
-        if (isOut(engine, now) || (isOld && refusesOld) || now < engine.avoidUntil
-            || std::find(excluded.begin(), excluded.end(), candidate.id) != excluded.end()) {
+        const bool isOld = version < question.wantedVersion;
+        if (isOut(engine, now) || (isOld && question.refusesOld) || now < engine.avoidUntil
+            || std::find(question.excluded.begin(), question.excluded.end(), candidate.id) != question.excluded.end()) {
             continue;
         }
         const auto ranked = keepers.find(version);
-        const bool isHome = ranked != keepers.end() && ranked->second.first.candidate == &candidate;
-        const double candidateCost = cost(engine, prompt, isHome, isOld, now);
-        const std::uint64_t weight = hashBytes(candidate.id, prompt.sharedHash);
-        if (!best.has_value() || candidateCost < bestCost || (candidateCost == bestCost && weight > bestWeight)) {
-            best = Choice{candidate.id, version, isHome, std::string(), std::string(), candidateCost};
-            bestCost = candidateCost;
-            bestWeight = weight;
-        }
+        const auto load = question.loads.find(candidate.id);
+        Choice choice;
+        choice.id = candidate.id;
+        choice.weightsVersion = version;
+        choice.isHome = ranked != keepers.end() && ranked->second.first.candidate == &candidate;
+        const std::int64_t missing = missingTokens(prompt, load == question.loads.end() ? nullptr : &load->second, choice.isHome);
+        choice.knownPrefixes = load == question.loads.end() ? -1 : load->second.knownPrefixes;
+        // Others will look for the prefix at its home.
+        const double preference = choice.isHome ? m_settings.homePreference : 0;
+        choice.costMs = cost(engine, missing, isOld, now);
+        choice.rankCostMs = choice.costMs - preference * static_cast<double>(missing) / m_settings.prefillTokensPerMs;
+        usable.emplace_back(hashBytes(candidate.id, prompt.sharedHash), choice);
     }
-    if (best.has_value()) {
-        best->likelyKeeper = keeperBeside(*best, keepers);
-        best->templateKeeper = keeperBeside(*best, rankKeepers(prompt.templateHash, candidates, now));
+    const std::size_t kept = std::min(count, usable.size());
+    std::partial_sort(usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(kept), usable.end(),
+                      [](const Weighted &first, const Weighted &second) {
+                          const double firstCost = first.second.rankCostMs;
+                          const double secondCost = second.second.rankCostMs;
+                          return firstCost != secondCost ? firstCost < secondCost : first.first > second.first;
+                      });
+    std::vector<Choice> best;
+    for (std::size_t i = 0; i < kept; ++i) {
+        best.push_back(usable[i].second);
+    }
+    if (!best.empty()) {
+        best.front().likelyKeeper = keeperBeside(best.front(), keepers);
+        best.front().templateKeeper = keeperBeside(best.front(), rankKeepers(prompt.templateHash, question.candidates, now));
+        preferKnownKeeper(best.front(), question, now);
     }
     return best;
 }
 
+void EndpointPlacement::preferKnownKeeper(Choice &choice, const Question &question, TimePoint now) const
+{
+    int most = std::max(choice.knownPrefixes, 0);
+    for (const Candidate &candidate : question.candidates) {
+        const auto load = question.loads.find(candidate.id);
+        if (candidate.id != choice.id && load != question.loads.end() && load->second.knownPrefixes > most
+            && versionOf(candidate, now) == choice.weightsVersion) {
+            most = load->second.knownPrefixes;
+            choice.likelyKeeper = candidate.id;
+            choice.keeperPrefixes = most;
+        }
+    }
+}
+
+std::optional<EndpointPlacement::Choice> EndpointPlacement::choose(const Question &question, TimePoint now) const
+{
+    const std::vector<Choice> best = rank(question, 1, now);
+    return best.empty() ? std::nullopt : std::optional<Choice>(best.front());
+}
+
+void EndpointPlacement::noteProbed(const std::string &id, const EngineLoad &load, TimePoint now)
+{
+    Engine &engine = m_engines[id];
+    engine.probedTokens = load.pendingTokens;
+    engine.probedAt = now;
+}
+
 void EndpointPlacement::noteSent(const std::string &id, std::int64_t tokens)
 {
     Engine &engine = m_engines[id];
     ++engine.inFlight;
     ++engine.pendingRequests;
     engine.pendingTokens += tokens;
+    engine.probedTokens += tokens;
 }
 
 void EndpointPlacement::noteFirstToken(const std::string &id, std::int64_t tokens)
@@ -147,6 +211,7 @@
     Engine &engine = m_engines[id];
     engine.pendingRequests = std::max(0, engine.pendingRequests - 1);
     engine.pendingTokens = std::max<std::int64_t>(0, engine.pendingTokens - tokens);
+    engine.probedTokens = std::max<std::int64_t>(0, engine.probedTokens - tokens);
 }
 
 void EndpointPlacement::noteEnd(const std::string &id)
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -33,6 +33,7 @@
     std::int64_t ownTokens = 0;
     /** Hash of the first part, which prompts of many prefixes share. */
     std::uint64_t templateHash = 0;
+    std::int64_t templateTokens = 0;
 };
 
 /**
@@ -54,12 +55,16 @@
         double runningCostMs = 1;
         /** Milliseconds that one request of another daemon without a first token adds. */
         double waitingCostMs = 60;
+        /** Part of the time to read a prefix that its home is preferred by even if it has yet to read it. */
+        double homePreference = 0.5;
         /** Milliseconds that weights older than the named ones are worth avoiding. */
         double oldWeightsCostMs = 100;
         /** Milliseconds for each recent failure. */
         double failureCostMs = 150;
         /** A failure counts for this long. */
         Duration failureMemory = std::chrono::seconds(3);
+        /** An answer to a probe says more than what was told for this long. */
+        Duration probeLifetime = std::chrono::milliseconds(250);
         /** What an endpoint daemon told is used for this long. */
         Duration viewLifetime = std::chrono::milliseconds(1500);
     };
@@ -70,6 +75,31 @@
         std::int64_t listedVersion = 0;
     };
 
+    /** What the daemon beside an engine answered a moment ago. */
+    struct EngineLoad
+    {
+        /** Prompt tokens sent there by all entry daemons and not read yet. */
+        std::int64_t pendingTokens = 0;
+        /** How many of the prompt's prefixes, the first part and all shared parts, were read there lately. */
+        int knownPrefixes = 0;
+    };
+    using LoadById = std::map<std::string, EngineLoad>;
+
+    /** What a choice depends on. */
+    struct Question
+    {
+        const PlacedPrompt &prompt;
+        const std::vector<Candidate> &candidates;
+        /** The weights that the operators named; 0 when none. */
+        std::int64_t wantedVersion = 0;
+        /** Whether engines with older weights may not be used any more. */
+        bool refusesOld = false;
+        /** Ids that this request was already sent to. */
+        const std::vector<std::string> &excluded;
+        /** Engines asked for this request. */
+        const LoadById &loads;
+    };
+
     /** The engine chosen, and the weights version that it has. */
     struct Choice
     {
@@ -81,8 +111,13 @@
         std::string likelyKeeper;
         /** The same for the first part of the prompt alone. */
         std::string templateKeeper;
+        /** How many of the prompt's prefixes it and the likely keeper are known to have; negative when they were not asked. */
+        int knownPrefixes = -1;
+        int keeperPrefixes = -1;
         /** The predicted time to the first token, with what is to be avoided counted as time. */
         double costMs = 0;
+        /** The same with the home preferred. */
+        double rankCostMs = 0;
     };
 
 private:
@@ -93,6 +128,9 @@
         /** Prompt tokens of own requests that have no first token yet. */
         std::int64_t pendingTokens = 0;
         int pendingRequests = 0;
+        /** Tokens pending there by the last probe, and when it was answered. */
+        std::int64_t probedTokens = 0;
+        TimePoint probedAt = timeNever;
         int failures = 0;
         TimePoint lastFailure = timeNever;
         TimePoint avoidUntil = timeNever;
@@ -117,11 +155,15 @@
 
     bool isCurrent(const EngineView &view, TimePoint now) const;
     /** Whether the engine takes requests, as far as is known. */
+    /** Makes an asked engine the keeper if it has more of the prompt than the choice. */
+    void preferKnownKeeper(Choice &choice, const Question &question, TimePoint now) const;
     /** The highest ranked engine with the choice's weights other than the choice itself; empty when there is none. */
     static std::string keeperBeside(const Choice &choice, const KeepersByVersion &keepers);
     bool isOut(const Engine &engine, TimePoint now) const;
     KeepersByVersion rankKeepers(std::uint64_t prefixHash, const std::vector<Candidate> &candidates, TimePoint now) const;
-    double cost(const Engine &engine, const PlacedPrompt &prompt, bool isHome, bool hasOldWeights, TimePoint now) const;
+    /** The prefill that waits at an engine, in milliseconds. */
+    double queueCost(const Engine &engine, TimePoint now) const;
+    double cost(const Engine &engine, std::int64_t missingTokens, bool hasOldWeights, TimePoint now) const;
 
 public:
     explicit EndpointPlacement(Settings settings);
@@ -136,13 +178,19 @@
     std::int64_t versionOf(const Candidate &candidate, TimePoint now) const;
 
     /**
-     * @param wantedVersion the weights that the operators named; 0 when none
-     * @param refusesOld whether engines with older weights may not be used any more
-     * @param excluded ids that this request was already sent to
-     * @return nothing when no engine can take the prompt
+     * The part of the shared tokens that an engine has to read or fetch.
+     * @param load what was answered there; null when it was not asked
      */
-    std::optional<Choice> choose(const PlacedPrompt &prompt, const std::vector<Candidate> &candidates, std::int64_t wantedVersion,
-                                 bool refusesOld, const std::vector<std::string> &excluded, TimePoint now) const;
+    static std::int64_t missingTokens(const PlacedPrompt &prompt, const EngineLoad *load, bool isHome);
+
+    /** The engines with the least predicted costs, the best first; at most @p count. */
+    std::vector<Choice> rank(const Question &question, std::size_t count, TimePoint now) const;
+
+    /** Nothing when no engine can take the prompt. */
+    std::optional<Choice> choose(const Question &question, TimePoint now) const;
+
+    /** The daemon beside an engine answered a probe. */
+    void noteProbed(const std::string &id, const EngineLoad &load, TimePoint now);
 
     void noteSent(const std::string &id, std::int64_t tokens);
     void noteFirstToken(const std::string &id, std::int64_t tokens);
--- a/servers/transferplanner.cpp
+++ b/servers/transferplanner.cpp
@@ -23,6 +23,9 @@
 // Engines under load evict what was not used for some seconds.
 constexpr Duration residentMemory = std::chrono::seconds(6);
 
+// The first part, and all shared parts.
+constexpr int allPrefixes = 2;
+
 constexpr std::uint64_t saltSeed = 0x9e37;
 
 }
@@ -71,6 +74,10 @@
     };
     const std::optional<std::string> reader = m_residents.lastReader(residentKey(question.salt, question.prefixHash), isOther, now);
     const std::uint64_t templateKey = residentKey(question.salt, question.templateHash);
+    if (question.keeperPrefixes == allPrefixes) {
+        plan.fetchFromEngine = question.keeper;
+        return;
+    }
     if (reader.has_value()) {
         plan.fetchFromEngine = *reader;
         return;
@@ -80,7 +87,7 @@
         m_link.add(static_cast<double>(question.sharedTokens) * question.bytesPerToken, now);
         return;
     }
-    if (!question.isHome || m_residents.isResident(question.engine, templateKey, now)) {
+    if (!question.isHome || question.knownPrefixes > 0 || m_residents.isResident(question.engine, templateKey, now)) {
         // Other daemons may have had it read there. A miss costs a millisecond.
         plan.fetchFromEngine = question.keeper;
         return;
@@ -103,7 +110,9 @@
     if (question.sharedTokens < minTransferTokens) {
         return plan;
     }
-    if (!m_residents.isResident(question.engine, residentKey(question.salt, question.prefixHash), now)) {
+    const bool isResident = question.knownPrefixes == allPrefixes
+        || m_residents.isResident(question.engine, residentKey(question.salt, question.prefixHash), now);
+    if (!isResident) {
         planFetch(question, isUsable, now, plan);
     }
     planSave(question, now, plan);
--- a/servers/transferplanner.h
+++ b/servers/transferplanner.h
@@ -22,6 +22,9 @@
     /** Other engines that most likely keep the shared prefix, and its first part; may be empty. */
     std::string keeper;
     std::string templateKeeper;
+    /** How many prefixes, the first part and all shared parts, the engine and the keeper have; negative when that isn't known. */
+    int knownPrefixes = -1;
+    int keeperPrefixes = -1;
     std::string salt;
     std::uint64_t prefixHash = 0;
     std::uint64_t templateHash = 0;
--- a/tests/servers/endpointplacement_test.cpp
+++ b/tests/servers/endpointplacement_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 using namespace citronspar;
@@ -31,19 +33,26 @@
 
 constexpr PlacedPrompt longPrompt{77, 6000, 3000};
 
+std::optional<EndpointPlacement::Choice> choose(const EndpointPlacement &placement, const PlacedPrompt &prompt,
+                                                const std::vector<EndpointPlacement::Candidate> &candidates, std::int64_t wantedVersion,
+                                                bool refusesOld, const std::vector<std::string> &excluded, TimePoint at)
+{
+    return placement.choose({prompt, candidates, wantedVersion, refusesOld, excluded, {}}, at);
+}
+
 }
 
 TEST_CASE("[EndpointPlacement] A prefix goes to its home, and elsewhere only under load there")
 {
     EndpointPlacement placement{EndpointPlacement::Settings()};
-    const std::optional<EndpointPlacement::Choice> home = placement.choose(longPrompt, engines(12), 0, false, {}, now);
+    const std::optional<EndpointPlacement::Choice> home = choose(placement, longPrompt, engines(12), 0, false, {}, now);
     REQUIRE(home.has_value());
     CHECK(home->isHome);
-    CHECK(placement.choose(longPrompt, engines(12), 0, false, {}, now)->id == home->id);
+    CHECK(choose(placement, longPrompt, engines(12), 0, false, {}, now)->id == home->id);
     for (int i = 0; i < 4; ++i) {
         placement.noteSent(home->id, 9000);
     }
-    const std::optional<EndpointPlacement::Choice> second = placement.choose(longPrompt, engines(12), 0, false, {}, now);
+    const std::optional<EndpointPlacement::Choice> second = choose(placement, longPrompt, engines(12), 0, false, {}, now);
     CHECK(second->id != home->id);
 }
 
@@ -52,7 +61,7 @@
     EndpointPlacement placement{EndpointPlacement::Settings()};
     std::set<std::string> homes;
     for (std::uint64_t prefix = 1; prefix <= 60; ++prefix) {
-        homes.insert(placement.choose(PlacedPrompt{prefix, 6000, 100}, engines(12), 0, false, {}, now)->id);
+        homes.insert(choose(placement, PlacedPrompt{prefix, 6000, 100}, engines(12), 0, false, {}, now)->id);
     }
     CHECK(homes.size() >= 11);
 }
@@ -65,28 +74,76 @@
     silent.isAnswering = false;
     placement.setView("engine-1", silent);
     placement.avoid("engine-2", now, std::chrono::milliseconds(100));
-    CHECK_FALSE(placement.choose(longPrompt, engines(4), 0, false, {"engine-3"}, now).has_value());
-    CHECK(placement.choose(longPrompt, engines(4), 0, false, {}, now)->id == "engine-3");
+    CHECK_FALSE(choose(placement, longPrompt, engines(4), 0, false, {"engine-3"}, now).has_value());
+    CHECK(choose(placement, longPrompt, engines(4), 0, false, {}, now)->id == "engine-3");
     const TimePoint later = now + std::chrono::seconds(2);
-    CHECK(placement.choose(longPrompt, engines(1), 0, false, {}, later).has_value());
+    CHECK(choose(placement, longPrompt, engines(1), 0, false, {}, later).has_value());
 }
 
 TEST_CASE("[EndpointPlacement] The daemon's word on weights comes before the list's, and old weights end")
 {
     EndpointPlacement placement{EndpointPlacement::Settings()};
     placement.setView("engine-0", viewOf(2));
-    const std::optional<EndpointPlacement::Choice> choice = placement.choose(PlacedPrompt{}, engines(3), 2, false, {}, now);
+    const std::optional<EndpointPlacement::Choice> choice = choose(placement, PlacedPrompt{}, engines(3), 2, false, {}, now);
     CHECK(choice->id == "engine-0");
     CHECK(choice->weightsVersion == 2);
-    CHECK(placement.choose(longPrompt, engines(3), 2, true, {}, now)->id == "engine-0");
-    CHECK_FALSE(placement.choose(longPrompt, engines(3), 3, true, {}, now).has_value());
+    CHECK(choose(placement, longPrompt, engines(3), 2, true, {}, now)->id == "engine-0");
+    CHECK_FALSE(choose(placement, longPrompt, engines(3), 3, true, {}, now).has_value());
 }
 
 TEST_CASE("[EndpointPlacement] An endpoint that fails gets less work for a time")
 {
     EndpointPlacement placement{EndpointPlacement::Settings()};
-    const std::string first = placement.choose(PlacedPrompt{}, engines(2), 0, false, {}, now)->id;
+    const std::string first = choose(placement, PlacedPrompt{}, engines(2), 0, false, {}, now)->id;
     placement.noteFailure(first, now);
-    CHECK(placement.choose(PlacedPrompt{}, engines(2), 0, false, {}, now)->id != first);
-    CHECK(placement.choose(PlacedPrompt{}, engines(2), 0, false, {}, now + std::chrono::seconds(4))->id == first);
+    CHECK(choose(placement, PlacedPrompt{}, engines(2), 0, false, {}, now)->id != first);
+    CHECK(choose(placement, PlacedPrompt{}, engines(2), 0, false, {}, now + std::chrono::seconds(4))->id == first);
+}
+
+TEST_CASE("[EndpointPlacement] Many entry daemons that ask do not overrun the first engines with new weights")
+{
+    // Load: 7 of 45 engines have new weights and look idle to 24 daemons that each choose within one round of reports.
+    constexpr int daemons = 24;
+    constexpr std::int64_t promptTokens = 3000;
+    std::vector<EndpointPlacement::Candidate> candidates = engines(45);
+    for (std::size_t i = 0; i < 7; ++i) {
+        candidates[i].listedVersion = 2;
+    }
+    std::map<std::string, std::int64_t> pending;
+    const std::vector<std::string> none;
+    for (std::uint64_t i = 0; i < daemons * 4; ++i) {
+        EndpointPlacement placement{EndpointPlacement::Settings()};
+        const PlacedPrompt prompt{i + 1, 0, promptTokens};
+        EndpointPlacement::LoadById loads;
+        const EndpointPlacement::Question question{prompt, candidates, 2, false, none, loads};
+        // Three rounds of four, as long as the best one is not known.
+        for (int round = 0; round < 3 && loads.count(placement.choose(question, now)->id) == 0; ++round) {
+            for (const EndpointPlacement::Choice &choice : placement.rank(question, 4, now)) {
+                loads[choice.id] = EndpointPlacement::EngineLoad{pending[choice.id], 0};
+                placement.noteProbed(choice.id, loads[choice.id], now);
+            }
+        }
+        pending[placement.choose(question, now)->id] += promptTokens;
+    }
+    std::int64_t most = 0;
+    for (const std::pair<const std::string, std::int64_t> &engine : pending) {
+        most = std::max(most, engine.second);
+    }
+    // Blind choices would put 13 prompts on each of the seven.
+    CHECK(most <= 6 * promptTokens);
+}
+
+TEST_CASE("[EndpointPlacement] An engine that has read a prefix is better than its home that has not")
+{
+    EndpointPlacement placement{EndpointPlacement::Settings()};
+    const std::vector<EndpointPlacement::Candidate> candidates = engines(12);
+    const std::vector<std::string> none;
+    EndpointPlacement::LoadById loads;
+    const EndpointPlacement::Question question{longPrompt, candidates, 0, false, none, loads};
+    const std::vector<EndpointPlacement::Choice> ranked = placement.rank(question, 3, now);
+    REQUIRE(ranked.size() == 3);
+    CHECK(ranked.front().isHome);
+    loads[ranked[0].id] = EndpointPlacement::EngineLoad{0, 0};
+    loads[ranked[1].id] = EndpointPlacement::EngineLoad{1000, 2};
+    CHECK(placement.choose(question, now)->id == ranked[1].id);
 }
