Split the search for a place from ProxyCall

PlaceSearch holds one request's dealings with placement: ranking, probes, what was sent and read, and the cache salt; each probed engine is asked with the salt of its own weights. The margin before the weights deadline has a name.

--- a/main/proxy/engineprobes.cpp
+++ b/main/proxy/engineprobes.cpp
@@ -22,7 +22,7 @@
     });
 }
 
-EngineProbes::QuestionId EngineProbes::ask(const std::vector<Target> &targets, const Prefixes &prefixes, Handler handler)
+EngineProbes::QuestionId EngineProbes::ask(const std::vector<Target> &targets, Handler handler)
 {
     const QuestionId id = ++m_lastQuestion;
     Question &question = m_questions[id];
@@ -30,7 +30,7 @@
     for (const Target &target : targets) {
         wire::Probe probe;
         probe.__set_probeId(++m_lastProbe);
-        probe.__set_blocks(prefixes);
+        probe.__set_blocks(target.prefixes);
         wire::Body body;
         body.__set_probe(probe);
         if (m_links.sendTo(target.address, body)) {
--- a/main/proxy/engineprobes.h
+++ b/main/proxy/engineprobes.h
@@ -25,6 +25,8 @@
     {
         std::string engine;
         std::string address;
+        /** Hashes of the ever longer beginnings of the prompt that others share. */
+        Prefixes prefixes;
     };
     /** What the daemons answered, by engine. */
     using Handler = std::function<void(const EndpointPlacement::LoadById &loads)>;
@@ -55,7 +57,7 @@
     EngineProbes(DaemonCore &core, PeerLinks &links);
 
     /** Asks all of @p targets; what has not answered in time is left out. The answer comes from the loop. */
-    QuestionId ask(const std::vector<Target> &targets, const Prefixes &prefixes, Handler handler);
+    QuestionId ask(const std::vector<Target> &targets, Handler handler);
     /** Ends a question without an answer. */
     void cancel(QuestionId id);
 
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -36,10 +36,6 @@
 // objective at the most: a later refusal would only cost the caller time.
 constexpr int quotaWaitDivisor = 8;
 
-// Engines that are asked at once, and how often until the best one has answered.
-constexpr std::size_t probedEngines = 4;
-constexpr int maxProbeRounds = 3;
-
 constexpr std::uint64_t splitSeed = 0x5711;
 constexpr std::uint64_t prefixSeed = 0x9e37;
 constexpr int serverError = 500;
@@ -79,7 +75,6 @@
 ProxyCall::~ProxyCall()
 {
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
-    m_services.probes.cancel(m_question);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -97,6 +92,10 @@
     m_services.retries.addRequest();
     m_ledger.emplace(m_route->repeat, m_route->maxAttempts);
     m_prompt = placedPrompt(m_request);
+    const bool isIsolated = m_account != nullptr && m_account->isIsolated;
+    m_places.emplace(
+        m_services,
+        PlaceSearch::Subject{m_service, m_isEngineService, m_request.model, m_prompt, isIsolated ? m_account->name : std::string()});
     m_timeoutAt = m_incoming.arrived + m_route->timeout;
     const Duration left = std::max(m_timeoutAt - Loop::now(), Duration::zero());
     m_timeoutTimer = m_services.loop.timers().subscribeOnce(left, [this](TimePoint) {
@@ -147,77 +146,6 @@
     return routed.refusal;
 }
 
-std::vector<EndpointPlacement::Choice> ProxyCall::rankPlaces()
-{
-    const TimePoint now = Loop::now();
-    std::vector<EndpointPlacement::Candidate> candidates;
-    std::string model;
-    for (const ListedEndpoint *endpoint : m_services.endpoints.directory().available(m_service)) {
-        candidates.push_back(EndpointPlacement::Candidate{endpoint->id, endpoint->weightsVersion});
-        model = endpoint->model;
-    }
-    const OperatorFeed::NamedWeightsState named = m_services.operators.namedWeights(m_request.model.empty() ? model : m_request.model);
-    const Duration margin = std::chrono::milliseconds(500);
-    const bool refusesOld = named.version > 0 && now - named.learntAt > m_services.weightsDeadline - margin;
-    const std::int64_t wantedVersion = m_isEngineService ? named.version : 0;
-    return placement().rank({m_prompt, candidates, wantedVersion, refusesOld, m_excluded, m_loads}, probedEngines, now);
-}
-
-void ProxyCall::place()
-{
-    const std::vector<EndpointPlacement::Choice> ranked = rankPlaces();
-    if (ranked.empty()) {
-        fail(ErrorKind::NoEndpoint);
-        return;
-    }
-    const bool isKnown = m_loads.count(ranked.front().id) > 0;
-    if (m_isEngineService && !isKnown && m_probeRounds < maxProbeRounds) {
-        probe(ranked);
-        return;
-    }
-    sendTo(ranked.front());
-}
-
-void ProxyCall::probe(const std::vector<EndpointPlacement::Choice> &ranked)
-{
-    ++m_probeRounds;
-    std::vector<EngineProbes::Target> targets;
-    for (const EndpointPlacement::Choice &choice : ranked) {
-        const ListedEndpoint *endpoint = m_services.endpoints.directory().find(choice.id);
-        if (endpoint != nullptr && m_loads.count(choice.id) == 0) {
-            targets.push_back(EngineProbes::Target{choice.id, m_services.engineLinks.daemonAddress(*endpoint)});
-        }
-    }
-    const EngineProbes::Prefixes prefixes = saltedPrefixes(ranked.front().weightsVersion);
-    m_question = m_services.probes.ask(targets, prefixes, [this](const EndpointPlacement::LoadById &loads) {
-        m_question = 0;
-        for (const std::pair<const std::string, EndpointPlacement::EngineLoad> &load : loads) {
-            m_loads.insert(load);
-            placement().noteProbed(load.first, load.second, Loop::now());
-        }
-        place();
-    });
-}
-
-EngineProbes::Prefixes ProxyCall::saltedPrefixes(std::int64_t weightsVersion) const
-{
-    const std::uint64_t salt = hashBytes(cacheSalt(weightsVersion), prefixSeed);
-    EngineProbes::Prefixes prefixes;
-    for (const std::uint64_t prefix : {m_prompt.templateHash, m_prompt.sharedHash}) {
-        prefixes.push_back(static_cast<std::int64_t>(hashCombine(prefix, salt)));
-    }
-    return prefixes;
-}
-
-std::string ProxyCall::cacheSalt(std::int64_t weightsVersion) const
-{
-    std::string salt = "w" + std::to_string(weightsVersion);
-    if (m_account != nullptr && m_account->isIsolated) {
-        salt += "-" + m_account->name;
-    }
-    return salt;
-}
-
 std::vector<std::string> ProxyCall::sharedParts() const
 {
     std::vector<std::string> parts;
@@ -286,17 +214,12 @@
     }
     traits.priority = m_account != nullptr && m_account->priority.has_value() ? *m_account->priority : m_route->priority;
     traits.priority = std::clamp(traits.priority, 0, 9);
-    traits.cacheSalt = cacheSalt(choice.weightsVersion);
+    traits.cacheSalt = m_places->cacheSalt(choice.weightsVersion);
     traits.weightsVersion = choice.weightsVersion;
     planTransfers(choice, traits);
     return traits;
 }
 
-std::int64_t ProxyCall::expectedTokens() const
-{
-    return m_prompt.ownTokens;
-}
-
 bool ProxyCall::isKeyStillGood() const
 {
     if (m_account == nullptr) {
@@ -310,9 +233,13 @@
 
 void ProxyCall::send()
 {
-    m_loads.clear();
-    m_probeRounds = 0;
-    place();
+    m_places->start(m_excluded, [this](const std::optional<EndpointPlacement::Choice> &choice) {
+        if (choice.has_value()) {
+            sendTo(*choice);
+        } else {
+            fail(ErrorKind::NoEndpoint);
+        }
+    });
 }
 
 void ProxyCall::sendTo(const EndpointPlacement::Choice &choice)
@@ -340,15 +267,13 @@
     m_endpoint = choice.id;
     m_excluded.push_back(choice.id);
     m_hasFirstToken = false;
-    m_sentAt = Loop::now();
     m_ledger->noteSent();
-    placement().noteSent(m_endpoint, expectedTokens());
     HttpCall call;
     call.target = parseSocketAddress(endpoint->address);
     call.poolKey = endpoint->id + "@" + endpoint->address;
     const platform::ForwardTraits traits = traitsFor(choice);
     m_cacheSalt = traits.cacheSalt;
-    noteSentTo(choice, *endpoint, !traits.fetchFrom.empty());
+    m_places->noteSent(choice, *endpoint, !traits.fetchFrom.empty());
     call.head = platform::forwardHead(m_incoming.head, traits);
     call.body = m_incoming.body;
     call.echoHeader = platform::echoedHeader();
@@ -377,30 +302,16 @@
                           {"try", std::to_string(m_ledger->tries())}});
 }
 
-void ProxyCall::noteSentTo(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, bool isFetching)
-{
-    if (!m_isEngineService) {
-        return;
-    }
-    const auto load = m_loads.find(choice.id);
-    const std::int64_t missing = EndpointPlacement::missingTokens(m_prompt, load == m_loads.end() ? nullptr : &load->second, choice.isHome);
-    // What is fetched is mostly the first part.
-    const std::int64_t fetched = isFetching ? std::min(missing, m_prompt.templateTokens) : 0;
-    m_sentPrompt = m_services.probes.noteSent(m_services.engineLinks.daemonAddress(endpoint), m_prompt.ownTokens + missing - fetched,
-                                              saltedPrefixes(choice.weightsVersion));
-}
-
 void ProxyCall::noteFirstToken()
 {
     if (!m_hasFirstToken) {
         m_hasFirstToken = true;
         const bool isRead = m_isEngineService && m_relay.answer().isSigned && m_relay.answer().status < serverError;
-        m_services.probes.noteDone(m_sentPrompt, isRead);
+        m_places->noteDone(m_endpoint, isRead);
         if (isRead) {
             m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.sharedHash, Loop::now());
             m_services.transfers.noteRead(m_endpoint, m_cacheSalt, m_prompt.templateHash, Loop::now());
         }
-        placement().noteFirstToken(m_endpoint, expectedTokens());
     }
 }
 
@@ -516,7 +427,9 @@
 void ProxyCall::timeOut()
 {
     m_timeoutTimer = 0;
-    m_services.probes.cancel(m_question);
+    if (m_places.has_value()) {
+        m_places->cancel();
+    }
     m_services.pool.cancel(m_call);
     leaveEndpoint();
     fail(m_ledger->isSurelyNotRun() ? ErrorKind::NoEndpoint : ErrorKind::TimedOut);
@@ -524,7 +437,9 @@
 
 void ProxyCall::callerGone()
 {
-    m_services.probes.cancel(m_question);
+    if (m_places.has_value()) {
+        m_places->cancel();
+    }
     m_services.pool.cancel(m_call);
     leaveEndpoint();
     finish("caller gone");
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -2,6 +2,7 @@
 
 #include "core/errorkind.h"
 #include "main/proxy/answerrelay.h"
+#include "main/proxy/placesearch.h"
 #include "main/proxy/proxyservices.h"
 #include "main/proxy/quotapayment.h"
 #include "platform/requestcodec.h"
@@ -37,22 +38,16 @@
     bool m_isEngineService = false;
     std::optional<AttemptLedger> m_ledger;
     PlacedPrompt m_prompt;
+    std::optional<PlaceSearch> m_places;
     TimerService::TimerId m_timeoutTimer = 0;
     TimePoint m_timeoutAt{};
     std::unique_ptr<QuotaPayment> m_payment;
 
-    /** What daemons beside engines answered for this try, and how often they were asked. */
-    EndpointPlacement::LoadById m_loads;
-    int m_probeRounds = 0;
-    EngineProbes::QuestionId m_question = 0;
-    EngineProbes::PromptId m_sentPrompt = 0;
-
     HttpPool::CallId m_call = 0;
     std::string m_endpoint;
     std::vector<std::string> m_excluded;
     bool m_hasFirstToken = false;
     std::string m_cacheSalt;
-    TimePoint m_sentAt{};
 
     bool m_isEnded = false;
 
@@ -61,19 +56,10 @@
     void pay();
     void send();
     bool isKeyStillGood() const;
-    /** The best endpoints for the next try. */
-    std::vector<EndpointPlacement::Choice> rankPlaces();
-    /** Chooses an endpoint, after asking the daemons beside the best engines. */
-    void place();
-    void probe(const std::vector<EndpointPlacement::Choice> &ranked);
     void sendTo(const EndpointPlacement::Choice &choice);
-    EngineProbes::Prefixes saltedPrefixes(std::int64_t weightsVersion) const;
-    void noteSentTo(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, bool isFetching);
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
-    std::string cacheSalt(std::int64_t weightsVersion) const;
     void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
     std::vector<std::string> sharedParts() const;
-    std::int64_t expectedTokens() const;
 
     void takeData(std::string_view data);
     void takeEnd(HttpCallEnd end);
