Use what probes say of prefixes when fetching; prefer homes more

Now a keeper that is known to lack the prefix is passed over, one that has the first part is used for it, and homes are preferred by 0.8 (before 0.5) of the time to read the prefix.

--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -172,7 +172,9 @@
 
 void EndpointPlacement::preferKnownKeeper(Choice &choice, const Question &question, TimePoint now) const
 {
-    int most = std::max(choice.knownPrefixes, 0);
+    const auto keeperLoad = question.loads.find(choice.likelyKeeper);
+    choice.keeperPrefixes = keeperLoad == question.loads.end() ? -1 : keeperLoad->second.knownPrefixes;
+    int most = std::max({choice.knownPrefixes, choice.keeperPrefixes, 0});
     for (const Candidate &candidate : question.candidates) {
         const auto load = question.loads.find(candidate.id);
         if (candidate.id != choice.id && load != question.loads.end() && load->second.knownPrefixes > most
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -56,7 +56,7 @@
         /** Milliseconds that one request of another daemon without a first token adds. */
         double waitingCostMs = 60;
         /** Part of the time to read a prefix that its home is preferred by even if it has yet to read it. */
-        double homePreference = 0.5;
+        double homePreference = 0.8;
         /** Milliseconds that weights older than the named ones are worth avoiding. */
         double oldWeightsCostMs = 100;
         /** Milliseconds for each recent failure. */
--- a/servers/transferplanner.cpp
+++ b/servers/transferplanner.cpp
@@ -87,11 +87,16 @@
         m_link.add(static_cast<double>(question.sharedTokens) * question.bytesPerToken, now);
         return;
     }
-    if (!question.isHome || question.knownPrefixes > 0 || m_residents.isResident(question.engine, templateKey, now)) {
+    const bool hasTemplate = question.knownPrefixes > 0 || m_residents.isResident(question.engine, templateKey, now);
+    const bool mayKeepAll = question.keeperPrefixes < 0 && (!question.isHome || hasTemplate);
+    if (mayKeepAll || (question.keeperPrefixes > 0 && !hasTemplate)) {
         // Other daemons may have had it read there. A miss costs a millisecond.
         plan.fetchFromEngine = question.keeper;
         return;
     }
+    if (hasTemplate) {
+        return;
+    }
     const std::optional<std::string> templateReader = m_residents.lastReader(templateKey, isOther, now);
     if (templateReader.has_value()) {
         plan.fetchFromEngine = *templateReader;
--- a/tests/servers/kvtransfers_test.cpp
+++ b/tests/servers/kvtransfers_test.cpp
@@ -157,3 +157,20 @@
     CHECK(plan.fetchFromEngine == "template keeper");
     CHECK_FALSE(plan.savesToStore);
 }
+
+TEST_CASE("[TransferPlanner] Nothing is fetched from an engine that is known to lack the prefix")
+{
+    TransferPlanner planner;
+    planner.setLink(7e10, 5);
+    planner.stored().setReachable(false);
+    TransferQuestion question = questionAt("one", false);
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine == "keeper");
+    question.knownPrefixes = 1;
+    question.keeperPrefixes = 0;
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine.empty());
+    // Another engine has the first part at least.
+    question.knownPrefixes = 0;
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine == "template keeper");
+    question.keeperPrefixes = 2;
+    CHECK(planner.plan(question, isAnyUsable, now).fetchFromEngine == "keeper");
+}
