Log what a probe found when a request is sent

An on-call engineer could not see on what the predicted time rested: the line of a sent request now says how many prefixes the probe found at the engine, and where the rest is fetched. No behaviour changes.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -297,6 +297,7 @@
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(choice.weightsVersion)},
                           {"home", choice.isHome ? "yes" : "no"},
+                          {"known", std::to_string(choice.knownPrefixes)},
                           {"fetch", traits.fetchFrom},
                           {"predictedMs", std::to_string(static_cast<int>(choice.costMs))},
                           {"try", std::to_string(m_ledger->tries())}});
