--- a/drivers/peernetwork.cpp
+++ b/drivers/peernetwork.cpp
@@ -92,7 +92,8 @@
     info.method = "RAW";
     info.local_protocol_name = "peer";
     info.opaque_user_data = reinterpret_cast<void *>(id);
-    lws *socket = lws_client_connect_via_info(&info);
+    // Without a host of its own the library would hand the socket to another part's protocol.
+    lws *socket = m_vhost == nullptr ? nullptr : lws_client_connect_via_info(&info);
     if (socket == nullptr) {
         m_timers.subscribeOnce(Duration::zero(), [this, id](TimePoint) {
             drop(id);
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,7 +41,7 @@
 
 std::string configText(std::int64_t version, const std::vector<std::string> &keys)
 {
-    const auto route = [](const char *prefix, const char *kind, bool isResumable, bool isPublic) {
+    const auto route = [](const char *prefix, const char *kind, bool isResumable, bool isPublic, const char *service = "app") {
         return nlohmann::json({{"name", prefix},
                                {"host", "h"},
                                {"prefix", prefix},
@@ -48,19 +49,25 @@
                                {"timeoutMs", 700},
                                {"targetLatencyMs", 500},
                                {"priority", 1},
-                               {"service", "app"},
+                               {"service", service},
                                {"maxAttempts", 2},
                                {"public", isPublic},
                                {"resumable", isResumable}});
     };
-    nlohmann::json config = {{"version", version},
-                             {"routes",
-                              {route("/once/", "non_idempotent", false, false), route("/again/", "idempotent", false, false),
-                               route("/stream/", "stream", true, false), route("/plain-stream/", "stream", false, false),
-                               route("/open/", "idempotent", false, true)}},
-                             {"services", {{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 10}}}},
-                             {"limits", nlohmann::json::object()},
-                             {"tenants", {{{"name", "mine"}, {"apiKeys", keys}, {"unit", "tokens"}, {"plainTokens", 1}}}}};
+    nlohmann::json config
+        = {{"version", version},
+           {"routes",
+            {route("/once/", "non_idempotent", false, false), route("/again/", "idempotent", false, false),
+             route("/stream/", "stream", true, false), route("/plain-stream/", "stream", false, false),
+             route("/open/", "idempotent", false, true), route("/model/", "stream", true, false, "engines")}},
+           {"services",
+            {{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 10}},
+             {{"name", "engines"}, {"maxConns", 10}, {"engine", {{"kvTokenBytes", 1000}, {"kvCapacityTokens", 100000}}}}}},
+           {"limits", nlohmann::json::object()},
+           {"tenants",
+            {{{"name", "mine"}, {"apiKeys", keys}, {"unit", "tokens"}, {"plainTokens", 1}},
+             {{"name", "walled"}, {"apiKeys", {"walled-key"}}, {"isolated", true}},
+             {{"name", "walled too"}, {"apiKeys", {"other-walled-key"}}, {"isolated", true}}}}};
     return config.dump();
 }
 
@@ -78,6 +85,14 @@
         .dump();
 }
 
+std::string engineEntryText(const std::string &address, std::int64_t weights)
+{
+    nlohmann::json entry = nlohmann::json::parse(entryText(address));
+    entry["service"] = "engines";
+    entry["models"] = {{{"name", "m"}, {"version", weights}, {"adapters", nlohmann::json::array()}}};
+    return entry.dump();
+}
+
 struct Answer
 {
     HttpCallEnd end = HttpCallEnd::NotSent;
@@ -336,3 +351,45 @@
     }
     CHECK(isServed);
 }
+
+TEST_CASE("[ProxyRole] Cached prefixes are shared neither with an isolated account nor across weights, whatever the caller asks")
+{
+    const std::string address = "127.0.0.1:18913";
+    World world;
+    EndpointStandIn engine(world.core.loop(), parseSocketAddress(address), "i-engine");
+    world.store.put("servers", "i-engine", engineEntryText(address, 1));
+    REQUIRE(world.answersAtLast("/model/x", "good-key", 200));
+    const auto saltOf = [&](const std::string &key) {
+        engine.received.clear();
+        HttpCall call = world.callTo("/model/x", key);
+        call.head.set("Citronspar-Prompt-Prefix", "aa:2000,bb:1000,cc:500");
+        call.head.set("Citronspar-Cache-Salt", "the caller's");
+        call.head.set("Citronspar-Kv-Fetch", "127.0.0.1:1");
+        call.head.set("Kv-From", "127.0.0.1:1/x");
+        Answer answer;
+        world.callers.fetch(std::move(call), std::chrono::seconds(3), [&](HttpCallEnd end, const HttpHead &head, const std::string &body) {
+            answer = Answer{end, head, body, true};
+            world.core.loop().stop();
+        });
+        world.core.loop().run();
+        REQUIRE(answer.head.status == 200);
+        REQUIRE(engine.received.size() == 1);
+        const HttpHead &head = engine.received.front().head;
+        CHECK(head.value("Kv-From").empty());
+        CHECK(head.value("Citronspar-Kv-Fetch") != "127.0.0.1:1");
+        return head.value("Citronspar-Expect-Version") + " " + head.value("Citronspar-Cache-Salt");
+    };
+    const std::string shared = saltOf("good-key");
+    const std::string walled = saltOf("walled-key");
+    CHECK(std::set<std::string>{shared, walled, saltOf("other-walled-key")}.size() == 3);
+    CHECK(saltOf("walled-key") == walled);
+    world.store.put("servers", "i-engine", engineEntryText(address, 2));
+    std::string newer = shared;
+    for (int i = 0; i < 100 && newer == shared; ++i) {
+        world.runFor(std::chrono::milliseconds(50));
+        newer = saltOf("good-key");
+    }
+    CHECK(newer.substr(0, 2) == "2 ");
+    CHECK(newer.substr(2) != shared.substr(2));
+    CHECK(saltOf("walled-key").substr(2) != walled.substr(2));
+}
