Fetch shared parts from engines also where there is no KV store

Now only what concerns the store is left out there; it counts as not reachable.

The new test failed before ('' instead of the other engine's address) and passes after. Deployments with a KV store are not changed.

--- a/main/proxy/kvstorewatch.cpp
+++ b/main/proxy/kvstorewatch.cpp
@@ -46,6 +46,7 @@
     const TrafficService *store = config == nullptr ? nullptr : config->kvStore();
     m_source = store == nullptr ? std::string() : store->kvStoreAddress;
     if (m_source.empty()) {
+        m_prefixes.setReachable(false);
         askAfter(pauseWithoutStore);
         return;
     }
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -159,7 +159,7 @@
 {
     const TrafficService *store = m_config->kvStore();
     const auto service = m_config->services.find(m_service);
-    if (store == nullptr || service == m_config->services.end()) {
+    if (service == m_config->services.end()) {
         return;
     }
     TransferQuestion question;
@@ -177,19 +177,19 @@
     question.sharedTokens = m_prompt.sharedTokens;
     question.ownTokens = m_prompt.ownTokens;
     question.bytesPerToken = service->second.bytesPerToken;
-    m_services.transfers.setLink(store->kvLinkBytesPerSecond, m_services.quotas.daemons());
+    m_services.transfers.setLink(store == nullptr ? 0 : store->kvLinkBytesPerSecond, m_services.quotas.daemons());
     const EndpointDirectory &directory = m_services.endpoints.directory();
     const EngineResidents::EngineFilter isUsable = [&](const std::string &engine) {
         return directory.find(engine) != nullptr && m_services.engines.isUsable(engine, Loop::now());
     };
     const TransferPlan plan = m_services.transfers.plan(question, isUsable, Loop::now());
     const ListedEndpoint *source = directory.find(plan.fetchFromEngine);
-    if (plan.fetchesFromStore) {
+    if (plan.fetchesFromStore && store != nullptr) {
         traits.fetchFrom = store->kvStoreAddress;
     } else if (source != nullptr) {
         traits.fetchFrom = source->address;
     }
-    if (plan.savesToStore) {
+    if (plan.savesToStore && store != nullptr) {
         traits.saveTo = store->kvStoreAddress;
     }
 }
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -393,3 +393,31 @@
     CHECK(newer.substr(2) != shared.substr(2));
     CHECK(saltOf("walled-key").substr(2) != walled.substr(2));
 }
+
+TEST_CASE("[ProxyRole] Without a KV store the shared part of a prompt still comes from another engine")
+{
+    World world;
+    const std::vector<std::string> addresses = {"127.0.0.1:18913", "127.0.0.1:18914"};
+    std::vector<std::unique_ptr<EndpointStandIn>> engines;
+    for (const std::string &address : addresses) {
+        engines.push_back(std::make_unique<EndpointStandIn>(world.core.loop(), parseSocketAddress(address), "i-" + address));
+        world.store.put("servers", "i-" + address, engineEntryText(address, 1));
+    }
+    REQUIRE(world.answersAtLast("/model/x", "good-key", 200));
+    world.runFor(std::chrono::milliseconds(1500));
+    engines[0]->received.clear();
+    engines[1]->received.clear();
+    HttpCall call = world.callTo("/model/x", "good-key");
+    call.head.set("Citronspar-Prompt-Prefix", "aa:2000,bb:1000,cc:500");
+    bool isDone = false;
+    world.callers.fetch(std::move(call), std::chrono::seconds(3), [&](HttpCallEnd, const HttpHead &, const std::string &) {
+        isDone = true;
+    });
+    REQUIRE(fakes::runUntil(world.core.loop(), [&]() {
+        return isDone;
+    }));
+    const std::size_t chosen = engines[0]->received.empty() ? 1 : 0;
+    REQUIRE(engines[chosen]->received.size() == 1);
+    CHECK(engines[chosen]->received.front().head.value("Citronspar-Kv-Fetch") == addresses[1 - chosen]);
+    CHECK(engines[chosen]->received.front().head.value("Citronspar-Kv-Save").empty());
+}
