Read as a newcomer: comments of the placement, one constant for the engines' cache

A comment stood over the wrong function, two files had the same time for which engines keep what they read, and the branches of planFetch did not say why. No behaviour changes.

--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -154,15 +154,17 @@
     using KeepersByVersion = std::map<std::int64_t, Keepers>;
 
     bool isCurrent(const EngineView &view, TimePoint now) const;
-    /** Whether the engine takes requests, as far as is known. */
     /** Makes an asked engine the keeper if it has more of the prompt than the choice. */
     void preferKnownKeeper(Choice &choice, const Question &question, TimePoint now) const;
     /** The highest ranked engine with the choice's weights other than the choice itself; empty when there is none. */
     static std::string keeperBeside(const Choice &choice, const KeepersByVersion &keepers);
+    /** Whether the engine loads weights or does not answer, as far as is known. */
     bool isOut(const Engine &engine, TimePoint now) const;
+    /** The engines that rendezvous hashing names for a prefix. */
     KeepersByVersion rankKeepers(std::uint64_t prefixHash, const std::vector<Candidate> &candidates, TimePoint now) const;
     /** The prefill that waits at an engine, in milliseconds. */
     double queueCost(const Engine &engine, TimePoint now) const;
+    /** The predicted time to the first token, with what is to be avoided counted as time; in milliseconds. */
     double cost(const Engine &engine, std::int64_t missingTokens, bool hasOldWeights, TimePoint now) const;
 
 public:
--- a/servers/engineresidents.h
+++ b/servers/engineresidents.h
@@ -11,6 +11,9 @@
 namespace citronspar
 {
 
+/** Engines under load evict what was not used for longer. */
+constexpr Duration engineCacheMemory = std::chrono::seconds(6);
+
 /** Remembers which shared prefixes this daemon had read on which engines lately. */
 class EngineResidents
 {
@@ -27,7 +30,7 @@
 public:
     using EngineFilter = std::function<bool(const std::string &engine)>;
 
-    /** @param memory engines evict what was not used for longer */
+    /** @param memory how long a prefix counts as present after it was read */
     explicit EngineResidents(Duration memory);
 
     void noteRead(const std::string &engine, std::uint64_t prefix, TimePoint now);
--- a/servers/promptledger.cpp
+++ b/servers/promptledger.cpp
@@ -1,5 +1,7 @@
 #include "servers/promptledger.h"
 
+#include "servers/engineresidents.h"
+
 #include <iterator>
 
 namespace citronspar
@@ -11,9 +13,6 @@
 // The message that a prompt was read may be lost with its link.
 constexpr Duration longestReading = std::chrono::seconds(4);
 
-// Engines under load evict what was not used for some seconds.
-constexpr Duration prefixMemory = std::chrono::seconds(6);
-
 constexpr Duration sweepPeriod = std::chrono::milliseconds(200);
 
 }
@@ -34,7 +33,7 @@
         it = now - it->second.sentAt > longestReading ? drop(it) : std::next(it);
     }
     for (auto it = m_readAt.begin(); it != m_readAt.end();) {
-        it = now - it->second > prefixMemory ? m_readAt.erase(it) : std::next(it);
+        it = now - it->second > engineCacheMemory ? m_readAt.erase(it) : std::next(it);
     }
 }
 
@@ -85,7 +84,7 @@
     std::size_t known = 0;
     for (const std::int64_t prefix : prefixes) {
         const auto found = m_readAt.find(prefix);
-        if (found == m_readAt.end() || now - found->second > prefixMemory) {
+        if (found == m_readAt.end() || now - found->second > engineCacheMemory) {
             break;
         }
         ++known;
--- a/servers/transferplanner.cpp
+++ b/servers/transferplanner.cpp
@@ -20,9 +20,6 @@
 // A first part that is saved once spares many engines reading it.
 constexpr Duration maxTemplateSaveBacklog = maxFetchBacklog;
 
-// Engines under load evict what was not used for some seconds.
-constexpr Duration residentMemory = std::chrono::seconds(6);
-
 // The first part, and all shared parts.
 constexpr int allPrefixes = 2;
 
@@ -32,7 +29,7 @@
 
 TransferPlanner::TransferPlanner()
     : m_stored(StoredPrefixes::Settings())
-    , m_residents(residentMemory)
+    , m_residents(engineCacheMemory)
 {
 }
 
@@ -79,6 +76,7 @@
         return;
     }
     if (reader.has_value()) {
+        // This daemon had it read there.
         plan.fetchFromEngine = *reader;
         return;
     }
@@ -97,6 +95,7 @@
     if (hasTemplate) {
         return;
     }
+    // The rest is taken for new; its first part was mostly read with another prompt.
     const std::optional<std::string> templateReader = m_residents.lastReader(templateKey, isOther, now);
     if (templateReader.has_value()) {
         plan.fetchFromEngine = *templateReader;
