Split the transfers of a prompt from ProxyCall; one class a file in the planner

PromptTransfers puts the planned transfers of one prompt into its requests, TransferQuestion and TransferPlan have files of their own.

Looked at and left: storefeed.cpp and engineclient.cpp share only the shape of a switch over an enumeration with it; the other pairs stand in code that Thrift generates.

No behaviour is meant to change; 146 cases pass.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "core/metrics.h"
+#include "main/proxy/prompttransfers.h"
 #include "servers/admission.h"
 #include "servers/requestrouting.h"
 
@@ -146,54 +147,6 @@
     return routed.refusal;
 }
 
-std::vector<std::string> ProxyCall::sharedParts() const
-{
-    std::vector<std::string> parts;
-    for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i) {
-        parts.push_back(m_request.parts[i].id);
-    }
-    return parts;
-}
-
-void ProxyCall::planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const
-{
-    const TrafficService *store = m_config->kvStore();
-    const auto service = m_config->services.find(m_service);
-    if (service == m_config->services.end()) {
-        return;
-    }
-    TransferQuestion question;
-    question.engine = choice.id;
-    question.isHome = choice.isHome;
-    question.keeper = choice.likelyKeeper;
-    question.templateKeeper = choice.templateKeeper;
-    question.knownPrefixes = choice.knownPrefixes;
-    question.keeperPrefixes = choice.keeperPrefixes;
-    question.salt = traits.cacheSalt;
-    question.prefixHash = m_prompt.sharedHash;
-    question.templateHash = m_prompt.templateHash;
-    question.sharedParts = sharedParts();
-    question.templateTokens = m_request.parts.empty() ? 0 : m_request.parts.front().tokens;
-    question.sharedTokens = m_prompt.sharedTokens;
-    question.ownTokens = m_prompt.ownTokens;
-    question.bytesPerToken = service->second.bytesPerToken;
-    m_services.transfers.setLink(store == nullptr ? 0 : store->kvLinkBytesPerSecond, m_services.quotas.daemons());
-    const EndpointDirectory &directory = m_services.endpoints.directory();
-    const EngineResidents::EngineFilter isUsable = [&](const std::string &engine) {
-        return directory.find(engine) != nullptr && m_services.engines.isUsable(engine, Loop::now());
-    };
-    const TransferPlan plan = m_services.transfers.plan(question, isUsable, Loop::now());
-    const ListedEndpoint *source = directory.find(plan.fetchFromEngine);
-    if (plan.fetchesFromStore && store != nullptr) {
-        traits.fetchFrom = store->kvStoreAddress;
-    } else if (source != nullptr) {
-        traits.fetchFrom = source->address;
-    }
-    if (plan.savesToStore && store != nullptr) {
-        traits.saveTo = store->kvStoreAddress;
-    }
-}
-
 platform::ForwardTraits ProxyCall::traitsFor(const EndpointPlacement::Choice &choice) const
 {
     const TimePoint now = Loop::now();
@@ -216,7 +169,7 @@
     traits.priority = std::clamp(traits.priority, 0, 9);
     traits.cacheSalt = m_places->cacheSalt(choice.weightsVersion);
     traits.weightsVersion = choice.weightsVersion;
-    planTransfers(choice, traits);
+    PromptTransfers(m_services, m_config, m_service, m_request, m_prompt).apply(choice, traits);
     return traits;
 }
 
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -58,8 +58,6 @@
     bool isKeyStillGood() const;
     void sendTo(const EndpointPlacement::Choice &choice);
     platform::ForwardTraits traitsFor(const EndpointPlacement::Choice &choice) const;
-    void planTransfers(const EndpointPlacement::Choice &choice, platform::ForwardTraits &traits) const;
-    std::vector<std::string> sharedParts() const;
 
     void takeData(std::string_view data);
     void takeEnd(HttpCallEnd end);
--- a/servers/transferplanner.cpp
+++ b/servers/transferplanner.cpp
@@ -33,11 +33,6 @@
 {
 }
 
-std::vector<std::string> TransferQuestion::templateParts() const
-{
-    return sharedParts.empty() ? std::vector<std::string>() : std::vector<std::string>{sharedParts.front()};
-}
-
 std::uint64_t TransferPlanner::residentKey(const std::string &salt, std::uint64_t prefixHash)
 {
     return hashCombine(prefixHash, hashBytes(salt, saltSeed));
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/soakworld.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -17,7 +18,7 @@
 constexpr Duration requestPeriod = std::chrono::milliseconds(12);
 constexpr Duration callerPatience = std::chrono::seconds(3);
 constexpr Duration restartPeriod = std::chrono::milliseconds(300);
-// RULES.md, recoverS: the longest time until callers are served again.
+// The users allow this long until callers are served again.
 constexpr Duration recovery = std::chrono::seconds(12);
 constexpr int servedWhenRecovered = 20;
 
@@ -26,19 +27,12 @@
 constexpr const char *firstAccount = "one";
 constexpr const char *secondAccount = "two";
 
+// By Promises::Kind.
+constexpr std::array<const char *, 4> prefixes = {"/once/", "/plain/", "/again/", "/resume/"};
+
 const char *prefixOf(Promises::Kind kind)
 {
-    switch (kind) {
-    case Promises::Kind::Once:
-        return "/once/";
-    case Promises::Kind::PlainStream:
-        return "/plain/";
-    case Promises::Kind::Idempotent:
-        return "/again/";
-    case Promises::Kind::ResumableStream:
-        return "/resume/";
-    }
-    return "";
+    return prefixes[static_cast<std::size_t>(kind)];
 }
 
 nlohmann::json routeOf(Promises::Kind kind, const char *routeKind, int timeoutMs)
