Give requests up that have not begun on old weights before the deadline

A request was sent to an engine with old weights until 0.5 s before the deadline, whatever waited there, and began up to 8.2 s after the new version was acknowledged (limit 8 s). By reading, two more ways: a daemon that had been cut from the store, or had just started, counted the whole limit from the moment at which it learned the version.

Change: WeightsCutoff. The version's age counts from the last answer of the store that did not have it; after a start at most 4 s are left.

Ruled out: a wider fixed margin alone (queues of several seconds remain).

--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -8,6 +8,14 @@
 namespace citronspar
 {
 
+namespace
+{
+
+// The store answers a waiting feed request at once, so a change was made just now unless the feed was interrupted.
+constexpr Duration maxUninterruptedGap = std::chrono::milliseconds(2500);
+
+}
+
 OperatorFeed::OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::PollSettings pollSettings)
     : m_log(log)
     , m_feed(loop, store, log, platform::names::operatorTable, pollSettings,
@@ -87,6 +95,8 @@
     }
     state.version = wanted->version;
     state.receivedAt = Loop::now();
+    const bool isInterrupted = m_confirmedAt == timeNever || state.receivedAt - m_confirmedAt > maxUninterruptedGap;
+    state.setAt = isInterrupted ? m_confirmedAt : state.receivedAt;
     m_log.write("weights", "wanted version changed", {{"model", wanted->model}, {"version", std::to_string(wanted->version)}});
     if (m_weightsHandler) {
         m_weightsHandler(wanted->model, wanted->version);
--- a/main/feeds/operatorfeed.h
+++ b/main/feeds/operatorfeed.h
@@ -20,6 +20,8 @@
         std::int64_t version = 0;
         /** When this daemon received the version. */
         TimePoint receivedAt{};
+        /** The earliest time at which the version can have been set; timeNever if the daemon has started since. */
+        TimePoint setAt = timeNever;
     };
 
     using ConfigHandler = std::function<void(const TrafficConfig &config)>;
--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -16,9 +16,6 @@
 constexpr std::size_t probedEngines = 4;
 constexpr int maxProbeRounds = 3;
 
-// Requests are still sent to old weights until this long before the deadline for the new ones.
-constexpr Duration weightsMargin = std::chrono::milliseconds(500);
-
 constexpr std::uint64_t saltSeed = 0x9e37;
 
 }
@@ -65,9 +62,12 @@
     }
     const OperatorFeed::WantedWeightsState wantedWeights
         = m_services.operatorFeed.wantedWeights(m_criteria.model.empty() ? listedModel : m_criteria.model);
-    const bool refusesOldWeights = wantedWeights.version > 0 && now - wantedWeights.receivedAt > m_services.weightsDeadline - weightsMargin;
     const std::int64_t wantedVersion = m_criteria.isEngineService ? wantedWeights.version : 0;
-    return placement().rank({m_criteria.prompt, candidates, wantedVersion, refusesOldWeights, m_excluded, m_loads}, probedEngines, now);
+    std::optional<WeightsCutoff> cutoff;
+    if (wantedVersion > 0) {
+        cutoff.emplace(wantedWeights.setAt, wantedWeights.receivedAt, m_services.weightsDeadline);
+    }
+    return placement().rank({m_criteria.prompt, candidates, wantedVersion, cutoff, m_excluded, m_loads}, probedEngines, now);
 }
 
 void EndpointSearch::search()
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -221,6 +221,7 @@
     m_endpoint = choice.id;
     m_triedEndpoints.push_back(choice.id);
     m_isPromptDone = false;
+    m_sentWeights = choice.weightsVersion;
     m_attemptTracker->recordSent();
     HttpCall call;
     call.target = parseSocketAddress(endpoint->address);
@@ -400,6 +401,22 @@
     finish("caller gone");
 }
 
+void ProxyCall::abandonOldWeights(const std::string &model, std::int64_t version)
+{
+    const bool isOtherModel = !m_request.model.empty() && m_request.model != model;
+    if (m_endpoint.empty() || !m_isEngineService || m_isPromptDone || m_sentWeights >= version || isOtherModel) {
+        return;
+    }
+    m_services.log.write("request", "given up on older weights",
+                         {{"request", m_request.id},
+                          {"endpoint", m_endpoint},
+                          {"weights", std::to_string(m_sentWeights)},
+                          {"wanted", std::to_string(version)}});
+    m_services.pool.cancel(m_endpointCall);
+    releaseEndpoint();
+    handleBroken();
+}
+
 void ProxyCall::fail(ErrorKind kind)
 {
     if (m_attemptTracker.has_value() && !m_attemptTracker->isCertainlyNotRun() && errorResponse(kind).runState == RunState::NotRun) {
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -47,6 +47,8 @@
     std::string m_endpoint;
     std::vector<std::string> m_triedEndpoints;
     bool m_isPromptDone = false;
+    /** The weights version of the engine that the request was sent to. */
+    std::int64_t m_sentWeights = 0;
     std::string m_cacheSalt;
 
     bool m_isEnded = false;
@@ -84,6 +86,12 @@
     /** Ends the request and closes the connection to the endpoint, which signals the cancellation. */
     void handleCallerDisconnect();
 
+    /**
+     * Gives the current attempt up if it has not begun and its engine has weights older than @p version of @p model,
+     * as no request may begin there any more.
+     */
+    void abandonOldWeights(const std::string &model, std::int64_t version);
+
     /** Resumes reading from the endpoint after the output buffer of the caller has drained. */
     void handleCallerDrained();
 };
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -1,6 +1,8 @@
 #include "main/proxy/proxyrole.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace citronspar
 {
@@ -115,11 +117,36 @@
         applyLimits(config);
         startHeldRequests();
     });
+    m_operatorFeed.onWeights([this](const std::string &model, std::int64_t version) {
+        scheduleWeightsCutoff(model, version);
+    });
     m_endpointFeed.onChange([this]() {
         startHeldRequests();
     });
 }
 
+void ProxyRole::scheduleWeightsCutoff(const std::string &model, std::int64_t version)
+{
+    const OperatorFeed::WantedWeightsState wanted = m_operatorFeed.wantedWeights(model);
+    const WeightsCutoff cutoff(wanted.setAt, wanted.receivedAt, m_services.weightsDeadline);
+    const Duration delay = std::max(cutoff.abandonAt() - Loop::now(), Duration::zero());
+    m_core.timers().subscribeOnce(delay, [this, model, version](TimePoint) {
+        abandonOldWeights(model, version);
+    });
+}
+
+void ProxyRole::abandonOldWeights(const std::string &model, std::int64_t version)
+{
+    // A call that ends is removed from the map at once and destroyed in the next loop iteration.
+    std::vector<ProxyCall *> calls;
+    for (const std::pair<const HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> &entry : m_calls) {
+        calls.push_back(entry.second.get());
+    }
+    for (ProxyCall *call : calls) {
+        call->abandonOldWeights(model, version);
+    }
+}
+
 bool ProxyRole::open()
 {
     if (!m_listener.open(parseSocketAddress(m_core.settings().httpListen))
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -49,6 +49,8 @@
     void startCall(HttpListener::ExchangeId id, HttpIncomingRequest request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     void removeCall(HttpListener::ExchangeId id);
+    void scheduleWeightsCutoff(const std::string &model, std::int64_t version);
+    void abandonOldWeights(const std::string &model, std::int64_t version);
     void handleReadinessRequest(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     bool isReady() const;
     void applyLimits(const TrafficConfig &config);
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -8,6 +8,13 @@
 namespace citronspar
 {
 
+namespace
+{
+
+constexpr double millisecondsPerSecond = 1000;
+
+}
+
 EndpointPlacement::EndpointPlacement(Settings settings)
     : m_settings(settings)
 {
@@ -133,7 +140,7 @@
         const Engine &engine = found == m_engines.end() ? unknown : found->second;
         const std::int64_t version = versionOf(candidate, now);
         const bool isOld = version < query.wantedVersion;
-        if (isUnavailable(engine, now) || (isOld && query.rejectsOldWeights) || now < engine.avoidUntil
+        if (isUnavailable(engine, now) || now < engine.avoidUntil
             || std::find(query.excluded.begin(), query.excluded.end(), candidate.id) != query.excluded.end()) {
             continue;
         }
@@ -148,6 +155,9 @@
         // Later requests will look for the prefix at its home engine.
         const double preference = choice.isHome ? m_settings.homePreference : 0;
         choice.costMs = cost(engine, missing, isOld, now);
+        if (isOld && query.cutoff.has_value() && !query.cutoff->admits(fromSeconds(choice.costMs / millisecondsPerSecond), now)) {
+            continue;
+        }
         choice.rankCostMs = choice.costMs - preference * static_cast<double>(missing) / m_settings.prefillTokensPerMs;
         usable.emplace_back(hashBytes(candidate.id, prompt.sharedHash), choice);
     }
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "servers/weightscutoff.h"
 
 #include <cstdint>
 #include <map>
@@ -93,8 +94,8 @@
         const std::vector<Candidate> &candidates;
         /** The weights version set by the operators; 0 if none is set. */
         std::int64_t wantedVersion = 0;
-        /** Whether engines with older weights are excluded. */
-        bool rejectsOldWeights = false;
+        /** Limits requests to engines with older weights; nullopt if no version is set. */
+        std::optional<WeightsCutoff> cutoff;
         /** Ids of engines that this request was already sent to. */
         const std::vector<std::string> &excluded;
         /** Probe answers received for this request. */
--- /dev/null
+++ b/servers/weightscutoff.cpp
@@ -0,0 +1,40 @@
+#include "servers/weightscutoff.h"
+
+#include <algorithm>
+
+namespace citronspar
+{
+
+namespace
+{
+
+// Predictions are about half of the true time under load.
+constexpr int predictionFactor = 2;
+
+// Reports that predictions are made from may be older than the queue that they describe.
+constexpr Duration startMargin = std::chrono::milliseconds(1500);
+
+// Covers the way of a cancellation to the engine.
+constexpr Duration abandonMargin = std::chrono::milliseconds(300);
+
+// A daemon that has just started can't know when the version was set. A rollout is mostly over after this time.
+constexpr Duration limitWithoutSetTime = std::chrono::milliseconds(4000);
+
+}
+
+WeightsCutoff::WeightsCutoff(TimePoint setAt, TimePoint receivedAt, Duration limit)
+    : m_deadline(setAt == timeNever ? receivedAt + std::min(limit, limitWithoutSetTime) : setAt + limit)
+{
+}
+
+bool WeightsCutoff::admits(Duration predicted, TimePoint now) const
+{
+    return now + startMargin + predicted * predictionFactor < m_deadline;
+}
+
+TimePoint WeightsCutoff::abandonAt() const
+{
+    return m_deadline - abandonMargin;
+}
+
+}
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -425,3 +425,34 @@
     CHECK(engines[chosen]->received.front().head.value("Citronspar-Kv-Fetch") == addresses[1 - chosen]);
     CHECK(engines[chosen]->received.front().head.value("Citronspar-Kv-Save").empty());
 }
+
+TEST_CASE("[ProxyRole] A request that has not begun on old weights shortly before the deadline for the new ones is given up")
+{
+    const std::string address = "127.0.0.1:18913";
+    ProxyFixture proxy;
+    Settings settings = entryDaemonSettings();
+    settings.platform->weightsDeadline = std::chrono::milliseconds(500);
+    proxy.role.applySettings(settings);
+    FakeEndpoint engine(proxy.core.loop(), parseSocketAddress(address), "i-engine");
+    proxy.store.put("servers", "i-engine", makeEngineEntry(address, 1));
+    REQUIRE(proxy.eventuallyResponds("/model/x", "good-key", 200));
+    engine.behaviour = Behaviour::NoResponse;
+    engine.received.clear();
+    Response response;
+    proxy.callers.fetch(proxy.makeCall("/model/x", "good-key"), std::chrono::seconds(4),
+                        [&](HttpCallResult result, const HttpHead &head, const std::string &body) {
+                            response = Response{result, head, body, true};
+                        });
+    REQUIRE(fakes::runUntil(proxy.core.loop(), [&]() {
+        return engine.received.size() == 1;
+    }));
+    proxy.store.put("op", "version/m", R"({"model":"m","version":2})");
+    CHECK(fakes::runUntil(proxy.core.loop(), [&]() {
+        return engine.disconnectCount == 1 && response.isDone;
+    }));
+    // The request may have begun, so the response must not say that it did not run.
+    CHECK(response.head.status == 502);
+    // From then on none is sent to the old weights.
+    engine.behaviour = Behaviour::SendStream;
+    CHECK(proxy.sendRequest("/model/x").head.status == 503);
+}
--- a/tests/servers/endpointplacement_test.cpp
+++ b/tests/servers/endpointplacement_test.cpp
@@ -31,13 +31,17 @@
     return view;
 }
 
+constexpr Duration weightsLimit = std::chrono::seconds(8);
+
 constexpr PlacedPrompt longPrompt{77, 6000, 3000};
 
 std::optional<EndpointPlacement::Choice> choose(const EndpointPlacement &placement, const PlacedPrompt &prompt,
                                                 const std::vector<EndpointPlacement::Candidate> &candidates, std::int64_t wantedVersion,
                                                 bool rejectsOldWeights, const std::vector<std::string> &excluded, TimePoint at)
 {
-    return placement.choose({prompt, candidates, wantedVersion, rejectsOldWeights, excluded, {}}, at);
+    const Duration age = rejectsOldWeights ? weightsLimit : Duration::zero();
+    const WeightsCutoff cutoff(at - age, at - age, weightsLimit);
+    return placement.choose({prompt, candidates, wantedVersion, cutoff, excluded, {}}, at);
 }
 
 }
@@ -115,7 +119,7 @@
         EndpointPlacement placement{EndpointPlacement::Settings()};
         const PlacedPrompt prompt{i + 1, 0, promptTokens};
         EndpointPlacement::LoadById loads;
-        const EndpointPlacement::Query query{prompt, candidates, 2, false, none, loads};
+        const EndpointPlacement::Query query{prompt, candidates, 2, std::nullopt, none, loads};
         // At most three rounds of four probes, until the best engine has been probed.
         for (int round = 0; round < 3 && loads.count(placement.choose(query, now)->id) == 0; ++round) {
             for (const EndpointPlacement::Choice &choice : placement.rank(query, 4, now)) {
@@ -139,7 +143,7 @@
     const std::vector<EndpointPlacement::Candidate> candidates = engines(12);
     const std::vector<std::string> none;
     EndpointPlacement::LoadById loads;
-    const EndpointPlacement::Query query{longPrompt, candidates, 0, false, none, loads};
+    const EndpointPlacement::Query query{longPrompt, candidates, 0, std::nullopt, none, loads};
     const std::vector<EndpointPlacement::Choice> ranked = placement.rank(query, 3, now);
     REQUIRE(ranked.size() == 3);
     CHECK(ranked.front().isHome);
