--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t probedEngines = 4;
 constexpr int maxProbeRounds = 3;
 
+// Shorter prefixes are prefilled before a transfer would start, so it does not matter where they are cached.
+constexpr std::int64_t minRecordedTokens = 1000;
+
 constexpr std::uint64_t saltSeed = 0x9e37;
 
 }
@@ -88,11 +91,14 @@
     ++m_probeRounds;
     std::vector<EngineProbes::Target> targets;
     for (const EndpointPlacement::Choice &choice : ranked) {
-        const ListedEndpoint *endpoint = m_services.endpointFeed.directory().find(choice.id);
-        if (endpoint != nullptr && m_loads.count(choice.id) == 0) {
-            targets.push_back(
-                EngineProbes::Target{choice.id, m_services.engineLinks.daemonAddress(*endpoint), saltedPrefixes(choice.weightsVersion)});
-        }
+        addProbeTarget(choice.id, choice.weightsVersion, targets);
+    }
+    const EndpointPlacement::Choice &best = ranked.front();
+    const bool isDirectoryRanked = std::any_of(ranked.begin(), ranked.end(), [&](const EndpointPlacement::Choice &choice) {
+        return choice.id == best.directoryEngine;
+    });
+    if (isPrefixRecorded() && !isDirectoryRanked) {
+        addProbeTarget(best.directoryEngine, best.weightsVersion, targets);
     }
     m_probeQuery = m_services.engineProbes.query(targets, [this](const EndpointPlacement::LoadById &loads) {
         m_probeQuery = 0;
@@ -104,7 +110,27 @@
     });
 }
 
-void EndpointSearch::recordSent(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, bool isFetching)
+bool EndpointSearch::isPrefixRecorded() const
+{
+    return m_criteria.isEngineService && m_criteria.prompt.sharedTokens >= minRecordedTokens;
+}
+
+std::string EndpointSearch::daemonAddress(const std::string &engine) const
+{
+    const ListedEndpoint *endpoint = m_services.endpointFeed.directory().find(engine);
+    return endpoint == nullptr ? std::string() : m_services.engineLinks.daemonAddress(*endpoint);
+}
+
+void EndpointSearch::addProbeTarget(const std::string &engine, std::int64_t weightsVersion,
+                                    std::vector<EngineProbes::Target> &targets) const
+{
+    const std::string address = daemonAddress(engine);
+    if (!address.empty() && m_loads.count(engine) == 0) {
+        targets.push_back(EngineProbes::Target{engine, address, saltedPrefixes(weightsVersion)});
+    }
+}
+
+void EndpointSearch::recordSent(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, const TransferPlan &transfers)
 {
     const PlacedPrompt &prompt = m_criteria.prompt;
     placement().recordSent(choice.id, prompt.ownTokens);
@@ -114,17 +140,25 @@
     const auto load = m_loads.find(choice.id);
     const std::int64_t missingTokens
         = EndpointPlacement::missingTokens(prompt, load == m_loads.end() ? nullptr : &load->second, choice.isHome);
-    // Usually only the first prompt part is fetched.
-    const std::int64_t fetchedTokens = isFetching ? std::min(missingTokens, prompt.templateTokens) : 0;
-    m_reportedPrompt
-        = m_services.engineProbes.reportPromptSent(m_services.engineLinks.daemonAddress(endpoint),
-                                                   prompt.ownTokens + missingTokens - fetchedTokens, saltedPrefixes(choice.weightsVersion));
+    const std::int64_t fetchedTokens = std::min(missingTokens, transfers.expectedTokens);
+    const EngineProbes::Prefixes prefixes = saltedPrefixes(choice.weightsVersion);
+    m_reportedPrompt = m_services.engineProbes.reportPromptSent(m_services.engineLinks.daemonAddress(endpoint),
+                                                                prompt.ownTokens + missingTokens - fetchedTokens, prefixes);
+    m_saltedPrefix = prefixes.back();
+    const std::string directoryAddress = isPrefixRecorded() ? daemonAddress(choice.directoryEngine) : std::string();
+    if (!directoryAddress.empty() && !transfers.saveToStore.empty()) {
+        m_services.engineProbes.reportSaved(directoryAddress, m_saltedPrefix);
+    }
+    m_directoryAddress = choice.directoryEngine == choice.id ? std::string() : directoryAddress;
 }
 
 void EndpointSearch::recordPromptDone(const std::string &endpoint, bool isPrefilled)
 {
     placement().recordFirstToken(endpoint, m_criteria.prompt.ownTokens);
     m_services.engineProbes.reportPromptDone(m_reportedPrompt, isPrefilled);
+    if (isPrefilled && !m_directoryAddress.empty()) {
+        m_services.engineProbes.reportCached(m_directoryAddress, m_saltedPrefix, endpoint);
+    }
 }
 
 std::string EndpointSearch::cacheSalt(std::int64_t weightsVersion) const
--- a/main/proxy/endpointsearch.h
+++ b/main/proxy/endpointsearch.h
@@ -41,11 +41,19 @@
     int m_probeRounds = 0;
     EngineProbes::QueryId m_probeQuery = 0;
     EngineProbes::PromptId m_reportedPrompt = 0;
+    /** The peer address of the prefix's directory; empty if the request was sent to the engine there. */
+    std::string m_directoryAddress;
+    std::int64_t m_saltedPrefix = 0;
 
     EndpointPlacement &placement() const;
     std::vector<EndpointPlacement::Choice> rank() const;
     void search();
     void probe(const std::vector<EndpointPlacement::Choice> &ranked);
+    /** Whether the prefix is long enough to be recorded in its directory. */
+    bool isPrefixRecorded() const;
+    void addProbeTarget(const std::string &engine, std::int64_t weightsVersion, std::vector<EngineProbes::Target> &targets) const;
+    /** Returns an empty address if the engine is not listed. */
+    std::string daemonAddress(const std::string &engine) const;
     EngineProbes::Prefixes saltedPrefixes(std::int64_t weightsVersion) const;
 
 public:
@@ -64,10 +72,10 @@
     void cancel();
 
     /**
-     * Records that the request is sent to @p choice. For an engine, also reports the prompt to its endpoint daemon.
-     * @param isFetching whether the engine is told to fetch cached prompt parts
+     * Records that the request is sent to @p choice. For an engine, also reports the prompt to its endpoint daemon, and a
+     * save of the prefix to the prefix's directory.
      */
-    void recordSent(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, bool isFetching);
+    void recordSent(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, const TransferPlan &transfers);
     /** Records that the prompt is no longer pending: the engine has prefilled it (@p isPrefilled) or will not. */
     void recordPromptDone(const std::string &endpoint, bool isPrefilled);
 
--- a/main/proxy/engineprobes.cpp
+++ b/main/proxy/engineprobes.cpp
@@ -57,7 +57,14 @@
     if (query == m_queries.end()) {
         return;
     }
-    query->second.loads[probed.second] = EndpointPlacement::EngineLoad{answer.queuedTokens, answer.cachedBlocks};
+    EndpointPlacement::EngineLoad &load = query->second.loads[probed.second];
+    load.pendingTokens = answer.queuedTokens;
+    load.knownPrefixes = answer.cachedBlocks;
+    load.record.engine = answer.cachedEngine;
+    load.record.cachedAge = std::chrono::milliseconds(answer.cachedAgeMilliseconds);
+    if (answer.savedAgeMilliseconds >= 0) {
+        load.record.savedAge = std::chrono::milliseconds(answer.savedAgeMilliseconds);
+    }
     if (--query->second.pendingAnswers == 0) {
         finish(probed.first);
     }
@@ -100,6 +107,26 @@
     return m_lastPrompt;
 }
 
+void EngineProbes::reportCached(const std::string &address, std::int64_t prefix, const std::string &engine)
+{
+    wire::PrefixUse message;
+    message.__set_prefix(prefix);
+    message.__set_engine(engine);
+    wire::Body body;
+    body.__set_prefixUse(message);
+    m_links.sendTo(address, body);
+}
+
+void EngineProbes::reportSaved(const std::string &address, std::int64_t prefix)
+{
+    wire::PrefixUse message;
+    message.__set_prefix(prefix);
+    message.__set_isSaved(true);
+    wire::Body body;
+    body.__set_prefixUse(message);
+    m_links.sendTo(address, body);
+}
+
 void EngineProbes::reportPromptDone(PromptId id, bool isPrefilled)
 {
     const auto found = m_prompts.find(id);
--- a/main/proxy/kvstorewatch.cpp
+++ b/main/proxy/kvstorewatch.cpp
@@ -1,5 +1,8 @@
 #include "main/proxy/kvstorewatch.h"
 
+#include <set>
+#include <vector>
+
 namespace citronspar
 {
 
@@ -10,19 +13,23 @@
 constexpr Duration eventsWait = std::chrono::milliseconds(1000);
 constexpr Duration retryDelay = std::chrono::milliseconds(500);
 
-// The store limits the number of concurrent long polls. A daemon beyond the limit only knows its own saves.
-constexpr Duration pauseWhenBusy = std::chrono::seconds(15);
-constexpr Duration pauseWithoutStore = std::chrono::seconds(1);
+// The store limits the number of concurrent long polls. A daemon beyond the limit relies on the endpoint daemons for the
+// store's contents, and asks again only to notice that the store is down.
+constexpr Duration pauseWhenBusy = std::chrono::seconds(4);
 
 // Under load events arrive one by one; a short pause batches several into one request.
 constexpr Duration pauseAfterEvents = std::chrono::milliseconds(150);
 
+constexpr Duration refreshPeriod = std::chrono::milliseconds(500);
+
 }
 
-KvStoreWatch::KvStoreWatch(Loop &loop, HttpPool &pool, OperatorFeed &operatorFeed, StoredPrefixes &prefixes, DecisionLog &log)
+KvStoreWatch::KvStoreWatch(Loop &loop, HttpPool &pool, OperatorFeed &operatorFeed, KvStorePool &stores, const QuotaGate &quotaGate,
+                           DecisionLog &log)
     : m_loop(loop)
     , m_operatorFeed(operatorFeed)
-    , m_prefixes(prefixes)
+    , m_stores(stores)
+    , m_quotaGate(quotaGate)
     , m_log(log)
     , m_client(pool)
 {
@@ -30,70 +37,105 @@
 
 void KvStoreWatch::start()
 {
-    poll();
+    m_loop.timers().subscribe(refreshPeriod, [this](TimePoint) {
+        refreshStores();
+    });
+}
+
+void KvStoreWatch::refreshStores()
+{
+    const std::shared_ptr<const TrafficConfig> config = m_operatorFeed.config();
+    if (config == nullptr) {
+        return;
+    }
+    std::vector<KvStoreInfo> stores;
+    std::set<std::string> addresses;
+    for (const TrafficService *service : config->kvStores()) {
+        stores.push_back(KvStoreInfo{service->kvStoreAddress, service->kvStoreTokens, service->kvLinkBytesPerSecond});
+        addresses.insert(service->kvStoreAddress);
+    }
+    m_stores.setStores(stores, m_quotaGate.daemonCount());
+    for (auto it = m_feeds.begin(); it != m_feeds.end();) {
+        it = addresses.count(it->first) > 0 ? std::next(it) : m_feeds.erase(it);
+    }
+    for (const std::string &address : addresses) {
+        if (m_feeds.emplace(address, Feed()).second) {
+            m_log.write("kv store", "added", {{"address", address}});
+            poll(address);
+        }
+    }
 }
 
-void KvStoreWatch::pollAfter(Duration delay)
+void KvStoreWatch::pollAfter(const std::string &address, Duration delay)
 {
-    m_loop.timers().subscribeOnce(delay, [this](TimePoint) {
-        poll();
+    m_loop.timers().subscribeOnce(delay, [this, address](TimePoint) {
+        poll(address);
     });
 }
 
-void KvStoreWatch::poll()
+void KvStoreWatch::poll(const std::string &address)
 {
-    const std::shared_ptr<const TrafficConfig> config = m_operatorFeed.config();
-    const TrafficService *store = config == nullptr ? nullptr : config->kvStore();
-    m_storeAddress = store == nullptr ? std::string() : store->kvStoreAddress;
-    if (m_storeAddress.empty()) {
-        m_prefixes.setReachable(false);
-        pollAfter(pauseWithoutStore);
+    const auto feed = m_feeds.find(address);
+    if (feed == m_feeds.end()) {
         return;
     }
-    m_client.fetch(m_storeAddress, m_nextEvent, eventsWait,
-                   [this](const std::optional<platform::KvEvents> &events, platform::KvEventsFailure failure) {
-                       handleEvents(events, failure);
+    m_client.fetch(address, feed->second.nextEvent, eventsWait,
+                   [this, address](const std::optional<platform::KvEvents> &events, platform::KvEventsFailure failure) {
+                       const auto found = m_feeds.find(address);
+                       KvStorePool::Store *store = m_stores.find(address);
+                       if (found == m_feeds.end() || store == nullptr) {
+                           return;
+                       }
+                       if (events.has_value()) {
+                           handleEvents(*store, found->second, *events);
+                       } else {
+                           handleFailure(*store, failure);
+                       }
                    });
 }
 
-void KvStoreWatch::setReachable(bool isReachable)
+void KvStoreWatch::setReachable(KvStorePool::Store &store, bool isReachable)
 {
-    if (m_prefixes.isReachable() != isReachable) {
-        m_log.write("kv store", isReachable ? "reachable" : "unreachable", {{"address", m_storeAddress}});
-        m_prefixes.setReachable(isReachable);
+    if (store.stored.isReachable() != isReachable) {
+        m_log.write("kv store", isReachable ? "reachable" : "unreachable", {{"address", store.info.address}});
+        store.stored.setReachable(isReachable);
     }
 }
 
-void KvStoreWatch::handleEvents(const std::optional<platform::KvEvents> &events, platform::KvEventsFailure failure)
+void KvStoreWatch::handleFailure(KvStorePool::Store &store, platform::KvEventsFailure failure)
 {
-    if (!events.has_value()) {
-        if (failure == platform::KvEventsFailure::Busy) {
-            m_prefixes.setSubscribed(false);
-            pollAfter(pauseWhenBusy);
-            return;
-        }
-        setReachable(false);
-        pollAfter(retryDelay);
+    if (failure == platform::KvEventsFailure::Busy) {
+        setReachable(store, true);
+        store.stored.setSubscribed(false);
+        pollAfter(store.info.address, pauseWhenBusy);
         return;
     }
-    setReachable(true);
-    m_prefixes.setSubscribed(true);
-    if (events->bootEpoch != m_bootEpoch || events->hasGap) {
+    setReachable(store, false);
+    pollAfter(store.info.address, retryDelay);
+}
+
+void KvStoreWatch::handleEvents(KvStorePool::Store &store, Feed &feed, const platform::KvEvents &events)
+{
+    setReachable(store, true);
+    store.stored.setSubscribed(true);
+    if (events.bootEpoch != feed.bootEpoch || events.hasGap) {
         m_log.write("kv store", "contents unknown, known prefixes cleared",
-                    {{"epoch", std::to_string(events->bootEpoch)}, {"gap", events->hasGap ? "yes" : "no"}});
-        m_prefixes.clear();
-        m_bootEpoch = events->bootEpoch;
+                    {{"address", store.info.address},
+                     {"epoch", std::to_string(events.bootEpoch)},
+                     {"gap", events.hasGap ? "yes" : "no"}});
+        store.stored.clear();
+        feed.bootEpoch = events.bootEpoch;
     }
     const TimePoint now = Loop::now();
-    for (const platform::KvEvent &event : events->events) {
+    for (const platform::KvEvent &event : events.events) {
         if (event.isStored) {
-            m_prefixes.recordStored(event.salt, event.part, now);
+            store.stored.recordStored(event.salt, event.part, now);
         } else {
-            m_prefixes.recordDropped(event.salt, event.part);
+            store.stored.recordDropped(event.salt, event.part);
         }
     }
-    m_nextEvent = events->next;
-    pollAfter(events->events.empty() ? Duration::zero() : pauseAfterEvents);
+    feed.nextEvent = events.next;
+    pollAfter(store.info.address, events.events.empty() ? Duration::zero() : pauseAfterEvents);
 }
 
 }
--- a/main/proxy/kvstorewatch.h
+++ b/main/proxy/kvstorewatch.h
@@ -3,34 +3,50 @@
 #include "drivers/decisionlog.h"
 #include "main/feeds/operatorfeed.h"
 #include "platform/kvevents.h"
-#include "servers/storedprefixes.h"
+#include "servers/kvstorepool.h"
+#include "servers/quotagate.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace citronspar
 {
 
-/** Polls the event feed of the KV cache store to track which prefixes it holds and whether it is reachable. */
+/**
+ * Keeps the pool of KV cache stores equal to the configuration, and polls the
+ * event feed of each store to track which prefixes it holds and whether it is
+ * reachable.
+ */
 class KvStoreWatch
 {
 private:
+    /** The position in the event feed of one store. */
+    struct Feed
+    {
+        std::int64_t nextEvent = 0;
+        std::int64_t bootEpoch = 0;
+    };
+
     Loop &m_loop;
     OperatorFeed &m_operatorFeed;
-    StoredPrefixes &m_prefixes;
+    KvStorePool &m_stores;
+    const QuotaGate &m_quotaGate;
     DecisionLog &m_log;
     platform::KvEventsClient m_client;
-    std::string m_storeAddress;
-    std::int64_t m_nextEvent = 0;
-    std::int64_t m_bootEpoch = 0;
+    /** By the address of the store. */
+    std::map<std::string, Feed> m_feeds;
 
-    void poll();
-    void pollAfter(Duration delay);
-    void handleEvents(const std::optional<platform::KvEvents> &events, platform::KvEventsFailure failure);
-    void setReachable(bool isReachable);
+    void refreshStores();
+    void poll(const std::string &address);
+    void pollAfter(const std::string &address, Duration delay);
+    void handleFailure(KvStorePool::Store &store, platform::KvEventsFailure failure);
+    void handleEvents(KvStorePool::Store &store, Feed &feed, const platform::KvEvents &events);
+    void setReachable(KvStorePool::Store &store, bool isReachable);
 
 public:
-    KvStoreWatch(Loop &loop, HttpPool &pool, OperatorFeed &operatorFeed, StoredPrefixes &prefixes, DecisionLog &log);
+    /** @param quotaGate knows the number of entry daemons that share the links of the stores */
+    KvStoreWatch(Loop &loop, HttpPool &pool, OperatorFeed &operatorFeed, KvStorePool &stores, const QuotaGate &quotaGate, DecisionLog &log);
 
     void start();
 };
--- a/main/proxy/prompttransfers.cpp
+++ b/main/proxy/prompttransfers.cpp
@@ -28,6 +28,8 @@
     query.templateSource = choice.templateSource;
     query.knownPrefixes = choice.knownPrefixes;
     query.sourcePrefixes = choice.sourcePrefixes;
+    query.record = choice.record;
+    query.isRecordKnown = choice.isRecordKnown;
     query.salt = cacheSalt;
     query.prefixHash = m_prompt.sharedHash;
     query.templateHash = m_prompt.templateHash;
@@ -39,29 +41,22 @@
     return query;
 }
 
-void PromptTransfers::apply(const EndpointPlacement::Choice &choice, platform::ForwardHeaders &forwardHeaders) const
+TransferPlan PromptTransfers::apply(const EndpointPlacement::Choice &choice, platform::ForwardHeaders &forwardHeaders) const
 {
     const auto service = m_config->services.find(m_service);
     if (service == m_config->services.end()) {
-        return;
+        return TransferPlan();
     }
-    const TrafficService *store = m_config->kvStore();
-    m_services.transferPlanner.setLink(store == nullptr ? 0 : store->kvLinkBytesPerSecond, m_services.quotaGate.daemonCount());
     const EndpointDirectory &directory = m_services.endpointFeed.directory();
     const ResidentPrefixes::EngineFilter isUsable = [&](const std::string &engine) {
         return directory.find(engine) != nullptr && m_services.enginePlacement.isUsable(engine, Loop::now());
     };
     const TransferQuery query = makeTransferQuery(choice, forwardHeaders.cacheSalt, service->second.bytesPerToken);
-    const TransferPlan plan = m_services.transferPlanner.plan(query, isUsable, Loop::now());
+    TransferPlan plan = m_services.transferPlanner.plan(query, isUsable, Loop::now());
     const ListedEndpoint *source = directory.find(plan.fetchFromEngine);
-    if (plan.fetchesFromStore && store != nullptr) {
-        forwardHeaders.fetchFrom = store->kvStoreAddress;
-    } else if (source != nullptr) {
-        forwardHeaders.fetchFrom = source->address;
-    }
-    if (plan.savesToStore && store != nullptr) {
-        forwardHeaders.saveTo = store->kvStoreAddress;
-    }
+    forwardHeaders.fetchFrom = source != nullptr ? source->address : plan.fetchFromStore;
+    forwardHeaders.saveTo = plan.saveToStore;
+    return plan;
 }
 
 }
--- a/main/proxy/prompttransfers.h
+++ b/main/proxy/prompttransfers.h
@@ -35,7 +35,7 @@
      * Plans transfers for the selected engine and sets the fetch source and save target of @p forwardHeaders. Its
      * cache salt must be set.
      */
-    void apply(const EndpointPlacement::Choice &choice, platform::ForwardHeaders &forwardHeaders) const;
+    TransferPlan apply(const EndpointPlacement::Choice &choice, platform::ForwardHeaders &forwardHeaders) const;
 };
 
 }
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -147,7 +147,7 @@
     return routed.refusal;
 }
 
-platform::ForwardHeaders ProxyCall::makeForwardHeaders(const EndpointPlacement::Choice &choice) const
+platform::ForwardHeaders ProxyCall::makeForwardHeaders(const EndpointPlacement::Choice &choice, TransferPlan &transfers) const
 {
     const TimePoint now = Loop::now();
     platform::ForwardHeaders forwardHeaders;
@@ -169,7 +169,7 @@
     forwardHeaders.priority = std::clamp(forwardHeaders.priority, 0, 9);
     forwardHeaders.cacheSalt = m_endpointSearch->cacheSalt(choice.weightsVersion);
     forwardHeaders.weightsVersion = choice.weightsVersion;
-    PromptTransfers(m_services, m_config, m_service, m_request, m_prompt).apply(choice, forwardHeaders);
+    transfers = PromptTransfers(m_services, m_config, m_service, m_request, m_prompt).apply(choice, forwardHeaders);
     return forwardHeaders;
 }
 
@@ -226,9 +226,10 @@
     HttpCall call;
     call.target = parseSocketAddress(endpoint->address);
     call.poolKey = endpoint->id + "@" + endpoint->address;
-    const platform::ForwardHeaders forwardHeaders = makeForwardHeaders(choice);
+    TransferPlan transfers;
+    const platform::ForwardHeaders forwardHeaders = makeForwardHeaders(choice, transfers);
     m_cacheSalt = forwardHeaders.cacheSalt;
-    m_endpointSearch->recordSent(choice, *endpoint, !forwardHeaders.fetchFrom.empty());
+    m_endpointSearch->recordSent(choice, *endpoint, transfers);
     call.head = platform::forwardHead(m_incoming.head, forwardHeaders);
     call.body = m_incoming.body;
     call.echoHeader = platform::echoedHeader();
@@ -254,6 +255,7 @@
                           {"home", choice.isHome ? "yes" : "no"},
                           {"known", std::to_string(choice.knownPrefixes)},
                           {"fetch", forwardHeaders.fetchFrom},
+                          {"save", forwardHeaders.saveTo},
                           {"predictedMs", std::to_string(static_cast<int>(choice.costMs))},
                           {"try", std::to_string(m_attemptTracker->attemptCount())}});
 }
@@ -287,6 +289,11 @@
     if (m_relay.handleData(*m_route, data)) {
         recordPromptDone();
     }
+    if (m_relay.isOversized()) {
+        m_services.log.write("request", "response exceeds the limits", {{"request", m_request.id}, {"endpoint", m_endpoint}});
+        m_services.pool.breakOff(m_endpointCall);
+        return;
+    }
     if (m_relay.isForwarding() && m_relay.isCallerBacklogged()) {
         m_services.pool.pause(m_endpointCall);
     }
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -59,7 +59,8 @@
     void send();
     bool isKeyStillValid() const;
     void sendTo(const EndpointPlacement::Choice &choice);
-    platform::ForwardHeaders makeForwardHeaders(const EndpointPlacement::Choice &choice) const;
+    /** @param transfers receives the KV cache transfers that the headers ask for */
+    platform::ForwardHeaders makeForwardHeaders(const EndpointPlacement::Choice &choice, TransferPlan &transfers) const;
 
     void handleData(std::string_view data);
     void handleEnd(HttpCallResult result);
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -65,7 +65,7 @@
     , m_endpointFeed(core.loop(), m_store, m_log, endpointPolling, settings.returnGrace)
     , m_enginePlacement(EndpointPlacement::Settings())
     , m_plainPlacement(plainPlacementSettings())
-    , m_kvStoreWatch(core.loop(), m_pool, m_operatorFeed, m_transferPlanner.storedPrefixes(), m_log)
+    , m_kvStoreWatch(core.loop(), m_pool, m_operatorFeed, m_transferPlanner.stores(), m_quotaGate, m_log)
     , m_retryBudget(settings.retryShare * usedRetryFraction, settings.retrySlack * usedRetryFraction / QuotaGate::defaultDaemonCount)
     , m_keyFreshness(settings.keyRevocation)
     , m_quotaGate(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -111,6 +111,8 @@
         handleReserve(origin, body.reserve);
     } else if (body.__isset.probe) {
         handleProbe(origin, body.probe);
+    } else if (body.__isset.prefixUse) {
+        handlePrefixUse(body.prefixUse);
     } else {
         handlePromptMessage(origin, body);
     }
@@ -167,11 +169,27 @@
     answer.__set_probeId(probe.probeId);
     answer.__set_cachedBlocks(static_cast<std::int32_t>(m_promptTracker.knownPrefixes(probe.blocks, now)));
     answer.__set_queuedTokens(m_promptTracker.pendingTokens(now));
+    const PrefixRecord record = probe.blocks.empty() ? PrefixRecord() : m_prefixDirectory.find(probe.blocks.back(), now);
+    answer.__set_cachedEngine(record.engine);
+    answer.__set_cachedAgeMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(record.cachedAge).count());
+    if (record.savedAge.has_value()) {
+        answer.__set_savedAgeMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(*record.savedAge).count());
+    }
     wire::Body body;
     body.__set_probeAnswer(answer);
     m_links.send(origin.link, body);
 }
 
+void SidecarRole::handlePrefixUse(const wire::PrefixUse &use)
+{
+    if (!use.engine.empty()) {
+        m_prefixDirectory.recordCached(use.prefix, use.engine, Loop::now());
+    }
+    if (use.isSaved) {
+        m_prefixDirectory.recordSaved(use.prefix, Loop::now());
+    }
+}
+
 void SidecarRole::handlePromptMessage(const MessageOrigin &origin, const wire::Body &body)
 {
     if (body.__isset.promptSent) {
--- a/main/sidecar/sidecarrole.h
+++ b/main/sidecar/sidecarrole.h
@@ -8,6 +8,7 @@
 #include "main/peerlinks.h"
 #include "main/role.h"
 #include "platform/engineclient.h"
+#include "servers/prefixdirectory.h"
 #include "servers/prompttracker.h"
 #include "servers/quotaholder.h"
 #include "servers/weightsrollout.h"
@@ -39,6 +40,7 @@
     WeightsRollout m_rollout;
     QuotaHolder m_quotaHolder;
     PromptTracker m_promptTracker;
+    PrefixDirectory m_prefixDirectory;
     /** The entry daemons, with the time of the last hello from each. */
     std::map<std::string, TimePoint> m_entryDaemons;
     std::string m_engineAddress;
@@ -58,6 +60,7 @@
     void handleEntryHello(const MessageOrigin &origin);
     void handleReserve(const MessageOrigin &origin, const wire::Reserve &reserve);
     void handleProbe(const MessageOrigin &origin, const wire::Probe &probe);
+    void handlePrefixUse(const wire::PrefixUse &use);
     void handlePromptMessage(const MessageOrigin &origin, const wire::Body &body);
     int countEntryDaemons(TimePoint now);
     void acquireFencingToken();
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -329,6 +329,18 @@
 void ProbeAnswer::__set_prefillTokensPerSecond(const int64_t val) {
   this->prefillTokensPerSecond = val;
 }
+
+void ProbeAnswer::__set_cachedEngine(const std::string& val) {
+  this->cachedEngine = val;
+}
+
+void ProbeAnswer::__set_cachedAgeMilliseconds(const int64_t val) {
+  this->cachedAgeMilliseconds = val;
+}
+
+void ProbeAnswer::__set_savedAgeMilliseconds(const int64_t val) {
+  this->savedAgeMilliseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProbeAnswer& obj)
 {
   obj.printTo(out);
@@ -413,6 +425,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cachedEngine);
+          this->__isset.cachedEngine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cachedAgeMilliseconds);
+          this->__isset.cachedAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->savedAgeMilliseconds);
+          this->__isset.savedAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -458,6 +494,18 @@
   xfer += oprot->writeI64(this->prefillTokensPerSecond);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cachedEngine", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->cachedEngine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cachedAgeMilliseconds", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->cachedAgeMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("savedAgeMilliseconds", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->savedAgeMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -472,6 +520,9 @@
   swap(a.weights, b.weights);
   swap(a.isLeaving, b.isLeaving);
   swap(a.prefillTokensPerSecond, b.prefillTokensPerSecond);
+  swap(a.cachedEngine, b.cachedEngine);
+  swap(a.cachedAgeMilliseconds, b.cachedAgeMilliseconds);
+  swap(a.savedAgeMilliseconds, b.savedAgeMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -483,6 +534,9 @@
   weights = other10.weights;
   isLeaving = other10.isLeaving;
   prefillTokensPerSecond = other10.prefillTokensPerSecond;
+  cachedEngine = other10.cachedEngine;
+  cachedAgeMilliseconds = other10.cachedAgeMilliseconds;
+  savedAgeMilliseconds = other10.savedAgeMilliseconds;
   __isset = other10.__isset;
 }
 ProbeAnswer& ProbeAnswer::operator=(const ProbeAnswer& other11) {
@@ -493,6 +547,9 @@
   weights = other11.weights;
   isLeaving = other11.isLeaving;
   prefillTokensPerSecond = other11.prefillTokensPerSecond;
+  cachedEngine = other11.cachedEngine;
+  cachedAgeMilliseconds = other11.cachedAgeMilliseconds;
+  savedAgeMilliseconds = other11.savedAgeMilliseconds;
   __isset = other11.__isset;
   return *this;
 }
@@ -506,6 +563,9 @@
   out << ", " << "weights=" << to_string(weights);
   out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "prefillTokensPerSecond=" << to_string(prefillTokensPerSecond);
+  out << ", " << "cachedEngine=" << to_string(cachedEngine);
+  out << ", " << "cachedAgeMilliseconds=" << to_string(cachedAgeMilliseconds);
+  out << ", " << "savedAgeMilliseconds=" << to_string(savedAgeMilliseconds);
   out << ")";
 }
 
@@ -3750,6 +3810,138 @@
 }
 
 
+PrefixUse::~PrefixUse() noexcept {
+}
+
+
+void PrefixUse::__set_prefix(const int64_t val) {
+  this->prefix = val;
+}
+
+void PrefixUse::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void PrefixUse::__set_isSaved(const bool val) {
+  this->isSaved = val;
+}
+std::ostream& operator<<(std::ostream& out, const PrefixUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PrefixUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefix);
+          this->__isset.prefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSaved);
+          this->__isset.isSaved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PrefixUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PrefixUse");
+
+  xfer += oprot->writeFieldBegin("prefix", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->prefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isSaved", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isSaved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PrefixUse &a, PrefixUse &b) {
+  using ::std::swap;
+  swap(a.prefix, b.prefix);
+  swap(a.engine, b.engine);
+  swap(a.isSaved, b.isSaved);
+  swap(a.__isset, b.__isset);
+}
+
+PrefixUse::PrefixUse(const PrefixUse& other74) {
+  prefix = other74.prefix;
+  engine = other74.engine;
+  isSaved = other74.isSaved;
+  __isset = other74.__isset;
+}
+PrefixUse& PrefixUse::operator=(const PrefixUse& other75) {
+  prefix = other75.prefix;
+  engine = other75.engine;
+  isSaved = other75.isSaved;
+  __isset = other75.__isset;
+  return *this;
+}
+void PrefixUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PrefixUse(";
+  out << "prefix=" << to_string(prefix);
+  out << ", " << "engine=" << to_string(engine);
+  out << ", " << "isSaved=" << to_string(isSaved);
+  out << ")";
+}
+
+
 Body::~Body() noexcept {
 }
 
@@ -3868,6 +4060,11 @@
   this->promptDone = val;
 __isset.promptDone = true;
 }
+
+void Body::__set_prefixUse(const PrefixUse& val) {
+  this->prefixUse = val;
+__isset.prefixUse = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -4080,6 +4277,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->prefixUse.read(iprot);
+          this->__isset.prefixUse = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4212,6 +4417,11 @@
     xfer += this->promptDone.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.prefixUse) {
+    xfer += oprot->writeFieldBegin("prefixUse", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->prefixUse.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4242,60 +4452,63 @@
   swap(a.crashSuspect, b.crashSuspect);
   swap(a.promptSent, b.promptSent);
   swap(a.promptDone, b.promptDone);
+  swap(a.prefixUse, b.prefixUse);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other74) {
-  probe = other74.probe;
-  probeAnswer = other74.probeAnswer;
-  dispatch = other74.dispatch;
-  dispatchRefused = other74.dispatchRefused;
-  streamDelta = other74.streamDelta;
-  streamEnd = other74.streamEnd;
-  cancel = other74.cancel;
-  credit = other74.credit;
-  freshnessQuestion = other74.freshnessQuestion;
-  freshnessAnswer = other74.freshnessAnswer;
-  configFetch = other74.configFetch;
-  configPush = other74.configPush;
-  reserve = other74.reserve;
-  reserveAnswer = other74.reserveAnswer;
-  giveBack = other74.giveBack;
-  suspectReport = other74.suspectReport;
-  timelineQuestion = other74.timelineQuestion;
-  timelineAnswer = other74.timelineAnswer;
-  engineState = other74.engineState;
-  entryHello = other74.entryHello;
-  crashSuspect = other74.crashSuspect;
-  promptSent = other74.promptSent;
-  promptDone = other74.promptDone;
-  __isset = other74.__isset;
+Body::Body(const Body& other76) {
+  probe = other76.probe;
+  probeAnswer = other76.probeAnswer;
+  dispatch = other76.dispatch;
+  dispatchRefused = other76.dispatchRefused;
+  streamDelta = other76.streamDelta;
+  streamEnd = other76.streamEnd;
+  cancel = other76.cancel;
+  credit = other76.credit;
+  freshnessQuestion = other76.freshnessQuestion;
+  freshnessAnswer = other76.freshnessAnswer;
+  configFetch = other76.configFetch;
+  configPush = other76.configPush;
+  reserve = other76.reserve;
+  reserveAnswer = other76.reserveAnswer;
+  giveBack = other76.giveBack;
+  suspectReport = other76.suspectReport;
+  timelineQuestion = other76.timelineQuestion;
+  timelineAnswer = other76.timelineAnswer;
+  engineState = other76.engineState;
+  entryHello = other76.entryHello;
+  crashSuspect = other76.crashSuspect;
+  promptSent = other76.promptSent;
+  promptDone = other76.promptDone;
+  prefixUse = other76.prefixUse;
+  __isset = other76.__isset;
 }
-Body& Body::operator=(const Body& other75) {
-  probe = other75.probe;
-  probeAnswer = other75.probeAnswer;
-  dispatch = other75.dispatch;
-  dispatchRefused = other75.dispatchRefused;
-  streamDelta = other75.streamDelta;
-  streamEnd = other75.streamEnd;
-  cancel = other75.cancel;
-  credit = other75.credit;
-  freshnessQuestion = other75.freshnessQuestion;
-  freshnessAnswer = other75.freshnessAnswer;
-  configFetch = other75.configFetch;
-  configPush = other75.configPush;
-  reserve = other75.reserve;
-  reserveAnswer = other75.reserveAnswer;
-  giveBack = other75.giveBack;
-  suspectReport = other75.suspectReport;
-  timelineQuestion = other75.timelineQuestion;
-  timelineAnswer = other75.timelineAnswer;
-  engineState = other75.engineState;
-  entryHello = other75.entryHello;
-  crashSuspect = other75.crashSuspect;
-  promptSent = other75.promptSent;
-  promptDone = other75.promptDone;
-  __isset = other75.__isset;
+Body& Body::operator=(const Body& other77) {
+  probe = other77.probe;
+  probeAnswer = other77.probeAnswer;
+  dispatch = other77.dispatch;
+  dispatchRefused = other77.dispatchRefused;
+  streamDelta = other77.streamDelta;
+  streamEnd = other77.streamEnd;
+  cancel = other77.cancel;
+  credit = other77.credit;
+  freshnessQuestion = other77.freshnessQuestion;
+  freshnessAnswer = other77.freshnessAnswer;
+  configFetch = other77.configFetch;
+  configPush = other77.configPush;
+  reserve = other77.reserve;
+  reserveAnswer = other77.reserveAnswer;
+  giveBack = other77.giveBack;
+  suspectReport = other77.suspectReport;
+  timelineQuestion = other77.timelineQuestion;
+  timelineAnswer = other77.timelineAnswer;
+  engineState = other77.engineState;
+  entryHello = other77.entryHello;
+  crashSuspect = other77.crashSuspect;
+  promptSent = other77.promptSent;
+  promptDone = other77.promptDone;
+  prefixUse = other77.prefixUse;
+  __isset = other77.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4324,6 +4537,7 @@
   out << ", " << "crashSuspect="; (__isset.crashSuspect ? (out << to_string(crashSuspect)) : (out << "<null>"));
   out << ", " << "promptSent="; (__isset.promptSent ? (out << to_string(promptSent)) : (out << "<null>"));
   out << ", " << "promptDone="; (__isset.promptDone ? (out << to_string(promptDone)) : (out << "<null>"));
+  out << ", " << "prefixUse="; (__isset.prefixUse ? (out << to_string(prefixUse)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4471,21 +4685,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other76) {
-  sender = other76.sender;
-  incarnation = other76.incarnation;
-  wallMicroseconds = other76.wallMicroseconds;
-  wallCounter = other76.wallCounter;
-  body = other76.body;
-  __isset = other76.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other77) {
-  sender = other77.sender;
-  incarnation = other77.incarnation;
-  wallMicroseconds = other77.wallMicroseconds;
-  wallCounter = other77.wallCounter;
-  body = other77.body;
-  __isset = other77.__isset;
+Envelope::Envelope(const Envelope& other78) {
+  sender = other78.sender;
+  incarnation = other78.incarnation;
+  wallMicroseconds = other78.wallMicroseconds;
+  wallCounter = other78.wallCounter;
+  body = other78.body;
+  __isset = other78.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other79) {
+  sender = other79.sender;
+  incarnation = other79.incarnation;
+  wallMicroseconds = other79.wallMicroseconds;
+  wallCounter = other79.wallCounter;
+  body = other79.body;
+  __isset = other79.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -71,6 +71,8 @@
 
 class PromptDone;
 
+class PrefixUse;
+
 class Body;
 
 class Envelope;
@@ -195,7 +197,7 @@
 std::ostream& operator<<(std::ostream& out, const Probe& obj);
 
 typedef struct _ProbeAnswer__isset {
-  _ProbeAnswer__isset() : probeId(false), cachedBlocks(false), queuedTokens(false), engineIncarnation(false), weights(false), isLeaving(false), prefillTokensPerSecond(false) {}
+  _ProbeAnswer__isset() : probeId(false), cachedBlocks(false), queuedTokens(false), engineIncarnation(false), weights(false), isLeaving(false), prefillTokensPerSecond(false), cachedEngine(false), cachedAgeMilliseconds(false), savedAgeMilliseconds(true) {}
   bool probeId :1;
   bool cachedBlocks :1;
   bool queuedTokens :1;
@@ -203,6 +205,9 @@
   bool weights :1;
   bool isLeaving :1;
   bool prefillTokensPerSecond :1;
+  bool cachedEngine :1;
+  bool cachedAgeMilliseconds :1;
+  bool savedAgeMilliseconds :1;
 } _ProbeAnswer__isset;
 
 class ProbeAnswer : public virtual ::apache::thrift::TBase {
@@ -217,7 +222,10 @@
                 engineIncarnation(0),
                 weights(),
                 isLeaving(0),
-                prefillTokensPerSecond(0) {
+                prefillTokensPerSecond(0),
+                cachedEngine(),
+                cachedAgeMilliseconds(0),
+                savedAgeMilliseconds(-1LL) {
   }
 
   virtual ~ProbeAnswer() noexcept;
@@ -228,6 +236,18 @@
   std::string weights;
   bool isLeaving;
   int64_t prefillTokensPerSecond;
+  /**
+   * Id of the engine that cached all of the probed prefixes most recently, as far as this daemon was told; empty if unknown.
+   */
+  std::string cachedEngine;
+  /**
+   * Age of that information.
+   */
+  int64_t cachedAgeMilliseconds;
+  /**
+   * Time since the prefixes were last saved to a KV cache store; negative if unknown.
+   */
+  int64_t savedAgeMilliseconds;
 
   _ProbeAnswer__isset __isset;
 
@@ -245,6 +265,12 @@
 
   void __set_prefillTokensPerSecond(const int64_t val);
 
+  void __set_cachedEngine(const std::string& val);
+
+  void __set_cachedAgeMilliseconds(const int64_t val);
+
+  void __set_savedAgeMilliseconds(const int64_t val);
+
   bool operator == (const ProbeAnswer & rhs) const
   {
     if (!(probeId == rhs.probeId))
@@ -261,6 +287,12 @@
       return false;
     if (!(prefillTokensPerSecond == rhs.prefillTokensPerSecond))
       return false;
+    if (!(cachedEngine == rhs.cachedEngine))
+      return false;
+    if (!(cachedAgeMilliseconds == rhs.cachedAgeMilliseconds))
+      return false;
+    if (!(savedAgeMilliseconds == rhs.savedAgeMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const ProbeAnswer &rhs) const {
@@ -1677,8 +1709,74 @@
 
 std::ostream& operator<<(std::ostream& out, const PromptDone& obj);
 
+typedef struct _PrefixUse__isset {
+  _PrefixUse__isset() : prefix(false), engine(false), isSaved(false) {}
+  bool prefix :1;
+  bool engine :1;
+  bool isSaved :1;
+} _PrefixUse__isset;
+
+/**
+ * Tells the endpoint daemon that keeps the directory of a prefix where the prefix can be fetched from.
+ */
+class PrefixUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  PrefixUse(const PrefixUse&);
+  PrefixUse& operator=(const PrefixUse&);
+  PrefixUse() noexcept
+            : prefix(0),
+              engine(),
+              isSaved(0) {
+  }
+
+  virtual ~PrefixUse() noexcept;
+  int64_t prefix;
+  /**
+   * Id of the engine that has prefilled or fetched the prefix; empty if none has.
+   */
+  std::string engine;
+  /**
+   * Whether a request is saving the prefix to a KV cache store.
+   */
+  bool isSaved;
+
+  _PrefixUse__isset __isset;
+
+  void __set_prefix(const int64_t val);
+
+  void __set_engine(const std::string& val);
+
+  void __set_isSaved(const bool val);
+
+  bool operator == (const PrefixUse & rhs) const
+  {
+    if (!(prefix == rhs.prefix))
+      return false;
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(isSaved == rhs.isSaved))
+      return false;
+    return true;
+  }
+  bool operator != (const PrefixUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PrefixUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PrefixUse &a, PrefixUse &b);
+
+std::ostream& operator<<(std::ostream& out, const PrefixUse& obj);
+
 typedef struct _Body__isset {
-  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false), promptSent(false), promptDone(false) {}
+  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false), promptSent(false), promptDone(false), prefixUse(false) {}
   bool probe :1;
   bool probeAnswer :1;
   bool dispatch :1;
@@ -1702,6 +1800,7 @@
   bool crashSuspect :1;
   bool promptSent :1;
   bool promptDone :1;
+  bool prefixUse :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -1736,6 +1835,7 @@
   CrashSuspect crashSuspect;
   PromptSent promptSent;
   PromptDone promptDone;
+  PrefixUse prefixUse;
 
   _Body__isset __isset;
 
@@ -1785,6 +1885,8 @@
 
   void __set_promptDone(const PromptDone& val);
 
+  void __set_prefixUse(const PrefixUse& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.probe != rhs.__isset.probe)
@@ -1879,6 +1981,10 @@
       return false;
     else if (__isset.promptDone && !(promptDone == rhs.promptDone))
       return false;
+    if (__isset.prefixUse != rhs.__isset.prefixUse)
+      return false;
+    else if (__isset.prefixUse && !(prefixUse == rhs.prefixUse))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -22,6 +22,12 @@
   5: string weights
   6: bool isLeaving
   7: i64 prefillTokensPerSecond
+  /** Id of the engine that cached all of the probed prefixes most recently, as far as this daemon was told; empty if unknown. */
+  8: string cachedEngine
+  /** Age of that information. */
+  9: i64 cachedAgeMilliseconds
+  /** Time since the prefixes were last saved to a KV cache store; negative if unknown. */
+  10: i64 savedAgeMilliseconds = -1
 }
 
 /** Sends one request to an endpoint daemon. Carries the id of the API key, never the key itself. */
@@ -190,6 +196,15 @@
   2: bool isRead
 }
 
+/** Tells the endpoint daemon that keeps the directory of a prefix where the prefix can be fetched from. */
+struct PrefixUse {
+  1: i64 prefix
+  /** Id of the engine that has prefilled or fetched the prefix; empty if none has. */
+  2: string engine
+  /** Whether a request is saving the prefix to a KV cache store. */
+  3: bool isSaved
+}
+
 union Body {
   1: Probe probe
   2: ProbeAnswer probeAnswer
@@ -214,6 +229,7 @@
   21: CrashSuspect crashSuspect
   22: PromptSent promptSent
   23: PromptDone promptDone
+  24: PrefixUse prefixUse
 }
 
 /** Contents of one frame between two daemons. */
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -176,10 +176,31 @@
         best.front().likelySource = highestRankedExcept(best.front(), topRanked);
         best.front().templateSource = highestRankedExcept(best.front(), rankByHash(prompt.templateHash, query.candidates, now));
         preferKnownSource(best.front(), query, now);
+        setDirectory(best.front(), query);
     }
     return best;
 }
 
+void EndpointPlacement::setDirectory(Choice &choice, const Query &query)
+{
+    if (query.prompt.sharedHash == 0) {
+        return;
+    }
+    std::uint64_t highestWeight = 0;
+    for (const Candidate &candidate : query.candidates) {
+        const std::uint64_t weight = hashBytes(candidate.id, query.prompt.sharedHash);
+        if (choice.directoryEngine.empty() || weight > highestWeight) {
+            choice.directoryEngine = candidate.id;
+            highestWeight = weight;
+        }
+    }
+    const auto load = query.loads.find(choice.directoryEngine);
+    if (load != query.loads.end()) {
+        choice.record = load->second.record;
+        choice.isRecordKnown = true;
+    }
+}
+
 void EndpointPlacement::preferKnownSource(Choice &choice, const Query &query, TimePoint now) const
 {
     const auto sourceLoad = query.loads.find(choice.likelySource);
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "servers/prefixdirectory.h"
 #include "servers/weightscutoff.h"
 
 #include <cstdint>
@@ -84,6 +85,8 @@
         std::int64_t pendingTokens = 0;
         /** How many of the prompt's two prefixes (the first part, all shared parts) were recently prefilled there. */
         int knownPrefixes = 0;
+        /** What the endpoint daemon knows about the prompt's shared prefix, if the engine is the prefix's directory engine. */
+        PrefixRecord record;
     };
     using LoadById = std::map<std::string, EngineLoad>;
 
@@ -109,6 +112,11 @@
         std::int64_t weightsVersion = 0;
         /** Whether it is the home of the shared prefix among the engines with the same weights. */
         bool isHome = false;
+        /** The engine whose endpoint daemon records where the shared prefix is cached; empty if there is no prefix. */
+        std::string directoryEngine;
+        /** What that daemon knows about the shared prefix, and whether it has answered. */
+        PrefixRecord record;
+        bool isRecordKnown = false;
         /** Another engine with the same weights that most likely has the shared prefix cached; empty if there is none. */
         std::string likelySource;
         /** The same for the first part of the prompt only. */
@@ -158,6 +166,11 @@
     bool isCurrent(const EngineView &view, TimePoint now) const;
     /** Replaces the likely source by a probed engine that has more of the prompt cached than both the choice and that source. */
     void preferKnownSource(Choice &choice, const Query &query, TimePoint now) const;
+    /**
+     * Sets the directory engine of the prefix and what its endpoint daemon has answered. Unlike the home, it does not change
+     * while engines load weights, since its endpoint daemon goes on.
+     */
+    static void setDirectory(Choice &choice, const Query &query);
     /** Returns the highest ranked engine with the choice's weights other than the choice itself; empty if there is none. */
     static std::string highestRankedExcept(const Choice &choice, const TopRankedByVersion &topRanked);
     /** Whether the current report says that the engine is loading weights or does not answer. */
--- a/servers/storedprefixes.h
+++ b/servers/storedprefixes.h
@@ -11,6 +11,9 @@
 namespace citronspar
 {
 
+/** How long a prefix counts as held by a KV cache store after its save, without events of the store. */
+constexpr Duration savedLifetime = std::chrono::seconds(20);
+
 /**
  * Tracks the prompt parts held by the KV cache store, from its events and from
  * the saves of this daemon. A prompt is saved only if the store lacks one of its
--- a/servers/trafficconfig.cpp
+++ b/servers/trafficconfig.cpp
@@ -31,14 +31,15 @@
     return nullptr;
 }
 
-const TrafficService *TrafficConfig::kvStore() const
+std::vector<const TrafficService *> TrafficConfig::kvStores() const
 {
+    std::vector<const TrafficService *> stores;
     for (const std::pair<const std::string, TrafficService> &entry : services) {
         if (!entry.second.kvStoreAddress.empty()) {
-            return &entry.second;
+            stores.push_back(&entry.second);
         }
     }
-    return nullptr;
+    return stores;
 }
 
 const std::string &chooseService(const TrafficRoute &route, std::uint64_t requestHash)
--- a/servers/trafficconfig.h
+++ b/servers/trafficconfig.h
@@ -61,6 +61,8 @@
     double kvLinkBytesPerSecond = 0;
     /** Address of the KV cache store; empty for a pool of endpoints. */
     std::string kvStoreAddress;
+    /** Capacity of the KV cache store, in tokens. */
+    std::int64_t kvStoreTokens = 0;
 };
 
 /** A client account with its rate limit. */
@@ -107,8 +109,8 @@
 
     const TrafficAccount *findAccountByName(const std::string &name) const;
 
-    /** The first KV cache store; nullptr if there is none. */
-    const TrafficService *kvStore() const;
+    /** All KV cache stores, ordered by name. */
+    std::vector<const TrafficService *> kvStores() const;
 };
 
 /** Selects a service of @p route by the weights of its split; the same @p requestHash gives the same service. */
--- a/servers/transferplan.h
+++ b/servers/transferplan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace citronspar
@@ -10,8 +11,12 @@
 {
     /** The engine to fetch from; empty if the request does not fetch from an engine. */
     std::string fetchFromEngine;
-    bool fetchesFromStore = false;
-    bool savesToStore = false;
+    /** Address of the KV cache store to fetch from; empty if the request does not fetch from one. */
+    std::string fetchFromStore;
+    /** Address of the KV cache store that the prompt is saved to; empty if it is not saved. */
+    std::string saveToStore;
+    /** How many of the prompt's shared tokens the fetch most likely brings. */
+    std::int64_t expectedTokens = 0;
 };
 
 }
--- a/servers/transferquery.h
+++ b/servers/transferquery.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "servers/prefixdirectory.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +22,9 @@
     /** How many prefixes (the first part, all shared parts) the engine and the source have cached; negative if unknown. */
     int knownPrefixes = -1;
     int sourcePrefixes = -1;
+    /** What the prefix's directory knows about it, and whether it has answered. */
+    PrefixRecord record;
+    bool isRecordKnown = false;
     /** The cache salt. */
     std::string salt;
     /** Hashes of the shared prefix and of its first part. */
--- a/tests/platform/configdecoder_test.cpp
+++ b/tests/platform/configdecoder_test.cpp
@@ -36,9 +36,9 @@
     CHECK(config->routes[1].isResumable);
     CHECK_FALSE(config->routes[2].needsKey);
     CHECK(config->services.at("pool").isEngine);
-    REQUIRE(config->kvStore() != nullptr);
-    CHECK(config->kvStore()->kvStoreAddress == "172.20.0.2:8604");
-    CHECK(config->kvStore()->kvLinkBytesPerSecond == 7e10);
+    REQUIRE(config->kvStores().size() == 1);
+    CHECK(config->kvStores().front()->kvStoreAddress == "172.20.0.2:8604");
+    CHECK(config->kvStores().front()->kvLinkBytesPerSecond == 7e10);
     const TrafficAccount *account = config->findAccountByKey("k2");
     REQUIRE(account != nullptr);
     CHECK(account->isIsolated);
--- a/tests/servers/endpointplacement_test.cpp
+++ b/tests/servers/endpointplacement_test.cpp
@@ -123,7 +123,7 @@
         // At most three rounds of four probes, until the best engine has been probed.
         for (int round = 0; round < 3 && loads.count(placement.choose(query, now)->id) == 0; ++round) {
             for (const EndpointPlacement::Choice &choice : placement.rank(query, 4, now)) {
-                loads[choice.id] = EndpointPlacement::EngineLoad{pending[choice.id], 0};
+                loads[choice.id] = EndpointPlacement::EngineLoad{pending[choice.id], 0, {}};
                 placement.recordProbeAnswer(choice.id, loads[choice.id], now);
             }
         }
@@ -147,7 +147,7 @@
     const std::vector<EndpointPlacement::Choice> ranked = placement.rank(query, 3, now);
     REQUIRE(ranked.size() == 3);
     CHECK(ranked.front().isHome);
-    loads[ranked[0].id] = EndpointPlacement::EngineLoad{0, 0};
-    loads[ranked[1].id] = EndpointPlacement::EngineLoad{1000, 2};
+    loads[ranked[0].id] = EndpointPlacement::EngineLoad{0, 0, {}};
+    loads[ranked[1].id] = EndpointPlacement::EngineLoad{1000, 2, {}};
     CHECK(placement.choose(query, now)->id == ranked[1].id);
 }
