Cut off servers that send bytes without end

Cause, by reading and by tests that failed: the lines of a chunk and of a trailer, interim responses, responses to other requests and the body of an unsigned response had no bound in size; a server in trouble could fill the memory of an entry daemon or keep it busy until a timeout. An event of a stream was searched from its start with each piece.

Change: HttpReader bounds unparsed input by the limit of the head. HttpPool skips at most 1 MB before a final response, and fetch() buffers at most 16 MB.

Tests: ten kinds of endless bytes, each cut off before 32 MB. A breakOff from the data handler is part of them.

--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -23,6 +23,10 @@
 constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
 // Responses with a lower status are interim (RFC 9110, 15.2).
 constexpr int firstFinalStatus = 200;
+
+// Interim responses and responses to earlier requests are skipped up to this size. A server in trouble may send more without end.
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;
+
 constexpr std::uint64_t unlimitedBodyBytes = std::numeric_limits<std::uint64_t>::max();
 
 Duration keepAliveTimeoutOf(const HttpHead &head)
@@ -114,7 +118,7 @@
     const CallId callId = ++m_lastId;
     connection.call = callId;
     connection.request = std::move(call);
-    connection.handlers = std::move(handlers);
+    connection.handlers = std::make_shared<const Handlers>(std::move(handlers));
     connection.hasSent = false;
     m_calls[callId] = id;
     if (connection.isConnected) {
@@ -130,20 +134,27 @@
         HttpHead head;
         std::string body;
         TimerService::TimerId timer = 0;
+        CallId id = 0;
     };
     const std::shared_ptr<Response> response = std::make_shared<Response>();
     Handlers handlers;
     handlers.onHead = [response](const HttpHead &head, std::int64_t) {
         response->head = head;
     };
-    handlers.onData = [response](std::string_view data) {
-        response->body.append(data);
-    };
+    const std::size_t maxBytes = call.maxFetchedBytes;
     handlers.onEnd = [this, response, onDone](HttpCallResult result) {
         m_loop.timers().unsubscribe(response->timer);
         onDone(result, response->head, response->body);
     };
+    handlers.onData = [this, response, maxBytes](std::string_view data) {
+        if (response->body.size() + data.size() > maxBytes) {
+            breakOff(response->id);
+            return;
+        }
+        response->body.append(data);
+    };
     const CallId id = send(std::move(call), std::move(handlers));
+    response->id = id;
     response->timer = m_loop.timers().subscribeOnce(timeout, [this, id, response, onDone](TimePoint) {
         cancel(id);
         onDone(HttpCallResult::Broken, HttpHead(), std::string());
@@ -159,6 +170,7 @@
     }
     startReader(id);
     connection.hasSent = true;
+    connection.skippedBytes = 0;
     HttpHead &head = connection.request.head;
     if (!connection.request.body.empty() || (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE")) {
         head.set("Content-Length", std::to_string(connection.request.body.size()));
@@ -186,13 +198,15 @@
             const std::string *echoed = echo.empty() ? nullptr : head.find(echo);
             current.isDiscarding = head.status < firstFinalStatus || (echoed != nullptr && *echoed != current.request.head.value(echo));
             if (!current.isDiscarding) {
-                current.handlers.onHead(head, current.reader->contentLength());
+                const std::shared_ptr<const Handlers> handlers = current.handlers;
+                handlers->onHead(head, current.reader->contentLength());
             }
         },
         [this, id](std::string_view data) {
             const auto found = m_connections.find(id);
             if (found != m_connections.end() && found->second.call != 0 && !found->second.isDiscarding) {
-                found->second.handlers.onData(data);
+                const std::shared_ptr<const Handlers> handlers = found->second.handlers;
+                handlers->onData(data);
             }
         });
 }
@@ -209,14 +223,23 @@
         return;
     }
     first->second.input.append(data);
+    if (first->second.isDiscarding || !first->second.reader->hasHead()) {
+        first->second.skippedBytes += data.size();
+    }
+    if (first->second.skippedBytes > maxSkippedBytes) {
+        closeConnection(id, HttpCallResult::Broken);
+        return;
+    }
     while (true) {
         Connection &connection = m_connections.at(id);
-        // A handler may end the call; this reference keeps the reader alive until read() returns.
+        // A handler may end the call and the connection; the reader and its input stay until read() returns.
         const std::shared_ptr<HttpResponseReader> reader = connection.reader;
-        const HttpReadState state = reader->read(connection.input);
+        std::string input = std::move(connection.input);
+        const HttpReadState state = reader->read(input);
         if (m_connections.count(id) == 0) {
             return;
         }
+        connection.input = std::move(input);
         if (state == HttpReadState::NeedsMore) {
             return;
         }
@@ -247,17 +270,17 @@
         closeConnection(id, HttpCallResult::Complete);
         return;
     }
-    const Handlers handlers = std::move(connection.handlers);
+    const std::shared_ptr<const Handlers> handlers = std::move(connection.handlers);
     m_calls.erase(connection.call);
     connection.call = 0;
-    connection.handlers = Handlers();
+    connection.handlers.reset();
     connection.reader.reset();
     connection.request = HttpCall();
     connection.socket->resumeReading();
     connection.idleSince = Loop::now();
     connection.keepAliveTimeout = keepAliveTimeoutOf(reader->head());
     m_idleConnections[connection.key].push_back(id);
-    handlers.onEnd(HttpCallResult::Complete);
+    handlers->onEnd(HttpCallResult::Complete);
 }
 
 void HttpPool::closeConnection(ConnectionId id, HttpCallResult result)
@@ -276,7 +299,7 @@
         }
     }
     const CallId call = connection.call;
-    const Handlers handlers = std::move(connection.handlers);
+    const std::shared_ptr<const Handlers> handlers = std::move(connection.handlers);
     // This function may be called from a handler of the socket, so the socket is destroyed in the next loop iteration.
     const std::shared_ptr<TcpSocket> socket(std::move(connection.socket));
     m_connections.erase(found);
@@ -288,8 +311,16 @@
         socket->close();
     }
     m_loop.timers().subscribeOnce(Duration::zero(), [socket](TimePoint) {});
-    if (call != 0 && handlers.onEnd) {
-        handlers.onEnd(result);
+    if (call != 0 && handlers != nullptr && handlers->onEnd) {
+        handlers->onEnd(result);
+    }
+}
+
+void HttpPool::breakOff(CallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found != m_calls.end()) {
+        closeConnection(found->second, HttpCallResult::Broken);
     }
 }
 
@@ -300,7 +331,7 @@
         return;
     }
     Connection &connection = m_connections.at(found->second);
-    connection.handlers = Handlers();
+    connection.handlers.reset();
     closeConnection(found->second, HttpCallResult::Broken);
 }
 
--- a/drivers/httppool.h
+++ b/drivers/httppool.h
@@ -33,6 +33,8 @@
     std::string poolKey;
     HttpHead head;
     std::string body;
+    /** Limit on the response body of fetch(); a longer one is Broken. */
+    std::size_t maxFetchedBytes = 16U * 1024 * 1024;
     /** Name of a request header that the server echoes. Responses that carry a different value are discarded. */
     std::string echoHeader;
     Duration connectTimeout = std::chrono::milliseconds(1000);
@@ -65,10 +67,13 @@
         std::shared_ptr<HttpResponseReader> reader;
         CallId call = 0;
         HttpCall request;
-        Handlers handlers;
+        /** Shared with the handler that runs, which may end the call. */
+        std::shared_ptr<const Handlers> handlers;
         bool isConnected = false;
         bool hasSent = false;
         bool isDiscarding = false;
+        /** Bytes received since the request was sent that are not part of its final response. */
+        std::size_t skippedBytes = 0;
         TimePoint idleSince{};
         Duration keepAliveTimeout{};
         TimerService::TimerId connectTimer = 0;
@@ -108,6 +113,9 @@
     /** Cancels a call and resets its connection. No handler is called afterwards. */
     void cancel(CallId id);
 
+    /** Resets the connection of a call whose response is unusable, and reports the call as Broken. */
+    void breakOff(CallId id);
+
     /** Stops reading the response, so that TCP flow control slows down the sender. */
     void pause(CallId id);
     void resume(CallId id);
--- a/drivers/httpreader.cpp
+++ b/drivers/httpreader.cpp
@@ -14,7 +14,8 @@
 
 template<bool isRequest>
 HttpReader<isRequest>::HttpReader(HttpReadLimits limits, HeadHandler headHandler, DataHandler dataHandler)
-    : m_headHandler(std::move(headHandler))
+    : m_maxHeaderBytes(limits.maxHeaderBytes)
+    , m_headHandler(std::move(headHandler))
     , m_dataHandler(std::move(dataHandler))
 {
     Base::header_limit(limits.maxHeaderBytes);
@@ -96,7 +97,11 @@
             return HttpReadState::Malformed;
         }
     }
-    return Base::is_done() ? HttpReadState::Done : HttpReadState::NeedsMore;
+    if (Base::is_done()) {
+        return HttpReadState::Done;
+    }
+    // Body data is consumed at once, so the rest is part of the head, or of a chunk's line or trailer without end.
+    return input.size() > m_maxHeaderBytes ? HttpReadState::HeaderTooLarge : HttpReadState::NeedsMore;
 }
 
 template<bool isRequest> bool HttpReader<isRequest>::finishAtEof()
--- a/drivers/httpreader.h
+++ b/drivers/httpreader.h
@@ -45,6 +45,7 @@
     using Text = boost::beast::string_view;
 
     HttpHead m_head;
+    std::uint32_t m_maxHeaderBytes;
     HeadHandler m_headHandler;
     DataHandler m_dataHandler;
 
--- a/main/proxy/responserelay.cpp
+++ b/main/proxy/responserelay.cpp
@@ -12,6 +12,9 @@
 // broken one can still be replaced by the response of another attempt.
 constexpr std::size_t maxBufferedBytes = 256 * 1024;
 
+// Limit on one event of a stream, which is buffered until it is complete.
+constexpr std::size_t maxEventBytes = 1024 * 1024;
+
 // Reading from the endpoint is paused while more than this is unsent to the caller.
 constexpr std::size_t maxCallerBacklog = 256 * 1024;
 
@@ -102,6 +105,11 @@
     return m_isForwarding;
 }
 
+bool ResponseRelay::isOversized() const
+{
+    return m_buffer.size() > maxBufferedBytes || m_events.partial().size() > maxEventBytes;
+}
+
 bool ResponseRelay::isCallerBacklogged() const
 {
     return m_services.listener.bufferedBytes(m_exchange) > maxCallerBacklog;
--- a/main/proxy/responserelay.h
+++ b/main/proxy/responserelay.h
@@ -58,6 +58,9 @@
 
     /** Whether part of a response was sent to the caller. */
     bool isForwarding() const;
+
+    /** Whether the endpoint has sent more than is buffered of a response that can't be forwarded yet; it may go on without end. */
+    bool isOversized() const;
     /** Whether the unsent output for the caller exceeds the buffer limit. */
     bool isCallerBacklogged() const;
 
--- a/servers/sseframer.cpp
+++ b/servers/sseframer.cpp
@@ -8,10 +8,12 @@
 
 constexpr std::string_view idField = "id:";
 
-/** Returns the offset after the empty line that ends the first event in @p text; npos if the event is incomplete. */
-std::size_t eventEnd(std::string_view text)
+/**
+ * Returns the offset after the empty line that ends the first event in @p text; npos if the event is incomplete.
+ * @param lineStart the start of the line to continue at; receives that of the last, incomplete line
+ */
+std::size_t eventEnd(std::string_view text, std::size_t &lineStart)
 {
-    std::size_t lineStart = 0;
     while (true) {
         const std::size_t newline = text.find('\n', lineStart);
         if (newline == std::string_view::npos) {
@@ -56,12 +58,13 @@
     std::size_t consumed = 0;
     while (true) {
         const std::string_view rest = std::string_view(m_partial).substr(consumed);
-        const std::size_t end = eventEnd(rest);
+        const std::size_t end = eventEnd(rest, m_scanned);
         if (end == std::string_view::npos) {
             break;
         }
         recordEvent(rest.substr(0, end));
         consumed += end;
+        m_scanned = 0;
     }
     std::string complete = m_partial.substr(0, consumed);
     m_partial.erase(0, consumed);
@@ -71,6 +74,7 @@
 void SseFramer::discardPartial()
 {
     m_partial.clear();
+    m_scanned = 0;
 }
 
 const std::string &SseFramer::partial() const
--- a/servers/sseframer.h
+++ b/servers/sseframer.h
@@ -15,6 +15,8 @@
 {
 private:
     std::string m_partial;
+    /** Start of the line in m_partial up to which no event ends. */
+    std::size_t m_scanned = 0;
     std::string m_lastEventId;
     bool m_hasEvents = false;
 
--- a/tests/drivers/httppool_test.cpp
+++ b/tests/drivers/httppool_test.cpp
@@ -168,6 +168,70 @@
     CHECK(response.result == HttpCallResult::Broken);
 }
 
+namespace
+{
+
+/** Writes @p block to a socket again and again until the peer closes it, and counts the bytes that were written. */
+struct EndlessWriter
+{
+    Loop &loop;
+    std::string block;
+    std::size_t written = 0;
+
+    void start(RawServer &server)
+    {
+        loop.timers().subscribe(std::chrono::milliseconds(1), [this, &server](TimePoint) {
+            TcpSocket &socket = *server.sockets.back();
+            constexpr std::size_t maxUnsent = 64 * 1024;
+            while (!server.closeReason.has_value() && socket.bufferedBytes() < maxUnsent) {
+                socket.write(block);
+                written += block.size();
+            }
+        });
+    }
+};
+
+}
+
+TEST_CASE("[HttpPool] A server that sends bytes without end is cut off, and its call is broken")
+{
+    struct Case
+    {
+        const char *name;
+        std::string start;
+        std::string block;
+    };
+    const std::string noise(4096, 'x');
+    const std::string otherResponse = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 4096\r\n\r\n" + noise;
+    const Case shown = GENERATE_COPY(
+        Case{"a status line", "HTTP/1.1 200 ", noise}, Case{"a header line", "HTTP/1.1 200 OK\r\nX-Any: ", noise},
+        Case{"header lines", "HTTP/1.1 200 OK\r\n", "X-Any: 1\r\n"},
+        Case{"a chunk line", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;any=", noise},
+        Case{"a trailer", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Any: ", noise},
+        Case{"a body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", noise}, Case{"bytes that are no response", "", noise},
+        Case{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"}, Case{"responses to other requests", "", otherResponse},
+        Case{"a response to another request", "HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\n", noise});
+    INFO(shown.name);
+    Loop loop;
+    RawServer server(loop);
+    HttpPool pool(loop);
+    EndlessWriter writer{loop, shown.block};
+    server.onRequest = [&](TcpSocket &socket) {
+        socket.write(shown.start);
+        writer.start(server);
+    };
+    FetchedResponse response;
+    HttpCall call = callWithId("1");
+    call.maxFetchedBytes = 1024 * 1024;
+    fetch(pool, loop, std::move(call), response);
+    CHECK(response.result == HttpCallResult::Broken);
+    REQUIRE(fakes::runUntil(loop, [&]() {
+        return server.closeReason.has_value();
+    }));
+    // The limits and what the kernel buffers on both sides; without limits, writing goes on until the call's timeout.
+    CHECK(writer.written < 32U * 1024 * 1024);
+}
+
 TEST_CASE("[HttpListener] Responses are framed, and an aborted response is not reported as complete")
 {
     Loop loop;
--- a/tests/servers/sseframer_test.cpp
+++ b/tests/servers/sseframer_test.cpp
@@ -27,3 +27,14 @@
     CHECK(framer.add("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(framer.lastEventId() == "2");
 }
+
+TEST_CASE("[SseFramer] An event of many small pieces is found, and searched only once")
+{
+    SseFramer framer;
+    for (int i = 0; i < 200000; ++i) {
+        REQUIRE(framer.add("data: x").empty());
+    }
+    const std::string event = framer.add("\n\n");
+    CHECK(event.size() == 200000U * 7 + 2);
+    CHECK(framer.partial().empty());
+}
