Poll the store less often, and exit before the grace period ends

Cause: three quarters of the calls to the store are the entry daemons' feeds: the endpoints' table every 0.6 s while it changes, whatever the time allowed for a leaving endpoint, and the operators' table every 1.25 s.

Change: the delay between two polls of the endpoints' table is 0.3 of the setting drainLimitMs (bounds.drainMs); the operators' table has waits of 2 s, well within the 4.4 s of a key's freshness. The margin before the kill is 700 ms, still in the last sixth of the grace period; the check runs each 50 ms.

Tests: a list that changes constantly is polled at most four times in 2.4 s and a leaving endpoint is noticed in time; ShutdownPlan with signals noticed late, seen failing with the margin of 300 ms.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -25,7 +25,7 @@
 using namespace citronspar;
 
 constexpr int exitUsage = 2;
-constexpr Duration stopPollInterval = std::chrono::milliseconds(200);
+constexpr Duration stopPollInterval = std::chrono::milliseconds(50);
 constexpr Duration reloadPollInterval = std::chrono::milliseconds(1000);
 
 volatile std::sig_atomic_t isStopRequested = 0;
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -14,11 +14,13 @@
 
 // The long poll timeout bounds the age of the known API keys, so it is well
 // below the time in which a revoked key has to stop working.
-constexpr StoreFeed::PollSettings operatorPolling{std::chrono::milliseconds(1250), std::chrono::milliseconds(200)};
+constexpr StoreFeed::PollSettings operatorPolling{std::chrono::milliseconds(2000), std::chrono::milliseconds(200)};
 
-// The endpoint list changes constantly during a weights rollout. The only urgent
-// change is the removal of an endpoint, and that may be noticed two seconds late.
-constexpr StoreFeed::PollSettings endpointPolling{std::chrono::milliseconds(4000), std::chrono::milliseconds(600)};
+constexpr Duration endpointPollTimeout = std::chrono::milliseconds(4000);
+
+// The endpoint list changes constantly during a weights rollout, and each poll is a call to the store. The only urgent
+// change is that an endpoint leaves; the fraction of the time allowed for it leaves room for a failed poll.
+constexpr double drainLimitFraction = 0.3;
 
 constexpr Duration idleCheckPeriod = std::chrono::milliseconds(200);
 
@@ -43,6 +45,11 @@
     return settings;
 }
 
+StoreFeed::PollSettings endpointPolling(Duration drainLimit)
+{
+    return StoreFeed::PollSettings{endpointPollTimeout, fromSeconds(toSeconds(drainLimit) * drainLimitFraction)};
+}
+
 EndpointPlacement::Settings plainPlacementSettings()
 {
     EndpointPlacement::Settings settings;
@@ -62,7 +69,7 @@
     , m_readinessListener(core.loop())
     , m_store(m_pool, parseSocketAddress(core.settings().table), storeTimeout)
     , m_operatorFeed(core.loop(), m_store, m_log, operatorPolling)
-    , m_endpointFeed(core.loop(), m_store, m_log, endpointPolling, settings.returnGrace)
+    , m_endpointFeed(core.loop(), m_store, m_log, endpointPolling(settings.drainLimit), settings.returnGrace)
     , m_enginePlacement(EndpointPlacement::Settings())
     , m_plainPlacement(plainPlacementSettings())
     , m_kvStoreWatch(core.loop(), m_pool, m_operatorFeed, m_transferPlanner.stores(), m_quotaGate, m_log)
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -51,6 +51,7 @@
         "keyRevocationMs": {"type": "number", "minimum": 1000},
         "stopGraceS": {"type": "number", "minimum": 1},
         "weightsDeadlineMs": {"type": "number", "minimum": 1000},
+        "drainLimitMs": {"type": "number", "minimum": 500},
         "returnGraceS": {"type": "number", "minimum": 0},
         "retryShare": {"type": "number", "minimum": 0},
         "retrySlack": {"type": "number", "minimum": 0},
@@ -81,6 +82,8 @@
     settings.stopGrace = fromSeconds(object.value("stopGraceS", toSeconds(settings.stopGrace)));
     settings.weightsDeadline = fromSeconds(object.value("weightsDeadlineMs", toSeconds(settings.weightsDeadline) * millisecondsPerSecond)
                                            / millisecondsPerSecond);
+    settings.drainLimit
+        = fromSeconds(object.value("drainLimitMs", toSeconds(settings.drainLimit) * millisecondsPerSecond) / millisecondsPerSecond);
     settings.returnGrace = fromSeconds(object.value("returnGraceS", toSeconds(settings.returnGrace)));
     settings.retryShare = object.value("retryShare", settings.retryShare);
     settings.retrySlack = object.value("retrySlack", settings.retrySlack);
--- a/main/settings.h
+++ b/main/settings.h
@@ -24,6 +24,8 @@
     Duration stopGrace = std::chrono::seconds(8);
     /** Time from a new weights version until no request may start on older weights. */
     Duration weightsDeadline = std::chrono::seconds(8);
+    /** Time from the announcement that an endpoint leaves until no request may reach it. */
+    Duration drainLimit = std::chrono::seconds(2);
     /** Time after a store outage within which expired endpoint entries are registered again; removals seen in it are delayed. */
     Duration returnGrace = std::chrono::seconds(2);
     /** Retry budget over all daemons in one window: a share of the requests plus a fixed number. */
--- a/servers/shutdownplan.cpp
+++ b/servers/shutdownplan.cpp
@@ -35,7 +35,7 @@
     }
     const Duration elapsed = now - m_startedAt;
     return elapsed >= m_settings.grace - m_settings.exitMargin
-        || (openRequests == 0 && elapsed >= m_settings.balancerDetectionTime + m_settings.exitMargin);
+        || (openRequests == 0 && elapsed >= m_settings.balancerDetectionTime + m_settings.idleMargin);
 }
 
 }
--- a/servers/shutdownplan.h
+++ b/servers/shutdownplan.h
@@ -25,8 +25,13 @@
          * already in transit.
          */
         Duration balancerDetectionTime = std::chrono::milliseconds(2600);
-        /** The process exits this long before it would be killed. */
-        Duration exitMargin = std::chrono::milliseconds(300);
+        /** Time from the end of that until an idle process exits, so that refusals reach their callers. */
+        Duration idleMargin = std::chrono::milliseconds(300);
+        /**
+         * The process exits this long before it would be killed. Covers the time until it notices the signal, and its exit
+         * on a slow VM.
+         */
+        Duration exitMargin = std::chrono::milliseconds(700);
     };
 
 private:
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -112,8 +112,8 @@
     HttpPool callers;
     int lastRequest = 0;
 
-    explicit ProxyFixture(bool hasConfig = true)
-        : core(entryDaemonSettings())
+    explicit ProxyFixture(bool hasConfig = true, const Settings &settings = entryDaemonSettings())
+        : core(settings)
         , store(core.loop(), parseSocketAddress(storeAddress))
         , links(core)
         , role(core, links, *core.settings().platform)
@@ -456,3 +456,28 @@
     engine.behaviour = Behaviour::SendStream;
     CHECK(proxy.sendRequest("/model/x").head.status == 503);
 }
+
+TEST_CASE("[ProxyRole] While the endpoint list changes constantly it is read rarely, and a leaving endpoint is noticed in time")
+{
+    Settings settings = entryDaemonSettings();
+    settings.platform->drainLimit = std::chrono::milliseconds(2000);
+    ProxyFixture proxy(true, settings);
+    int changes = 0;
+    proxy.core.timers().subscribe(std::chrono::milliseconds(20), [&](TimePoint) {
+        ++changes;
+        proxy.store.put("servers", "i-changing-" + std::to_string(changes % 5), makeEngineEntry("127.0.0.1:18919", changes));
+    });
+    proxy.runFor(std::chrono::milliseconds(700));
+    const int before = proxy.store.requestCount;
+    proxy.runFor(std::chrono::milliseconds(2400));
+    // Four polls of the list at the most, and two of the operators' table.
+    CHECK(proxy.store.requestCount - before <= 6);
+    for (const std::string &address : endpointAddresses) {
+        nlohmann::json entry = nlohmann::json::parse(makeEntry(address));
+        entry["state"] = "draining";
+        proxy.store.put("servers", "i-" + address, entry.dump());
+    }
+    const TimePoint announcedAt = Loop::now();
+    CHECK(proxy.eventuallyResponds("/once/x", "good-key", 503));
+    CHECK(Loop::now() - announcedAt < settings.platform->drainLimit);
+}
--- a/tests/servers/shutdownplan_test.cpp
+++ b/tests/servers/shutdownplan_test.cpp
@@ -21,3 +21,16 @@
     CHECK(plan.mayExit(start + std::chrono::seconds(5), 0));
     CHECK(plan.mayExit(start + std::chrono::milliseconds(7900), 3));
 }
+
+TEST_CASE("[ShutdownPlan] The process exits before it would be killed, though it notices the signal late and its exit takes time")
+{
+    // A signal is noticed, and the permission to exit is checked, up to 200 ms late; an exit on a slow VM takes 200 ms.
+    constexpr Duration delay = std::chrono::milliseconds(200);
+    ShutdownPlan::Settings settings;
+    ShutdownPlan plan{settings};
+    const TimePoint signalled{std::chrono::seconds(50)};
+    plan.start(signalled + delay);
+    CHECK(plan.mayExit(signalled + settings.grace - 2 * delay, 1));
+    // A request that was accepted before the signal has most of the grace period to complete.
+    CHECK_FALSE(plan.mayExit(signalled + settings.grace * 5 / 6, 1));
+}
