--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -5,6 +5,7 @@
 #include "main/proxy/prompttransfers.h"
 #include "servers/admission.h"
 #include "servers/requestrouting.h"
+#include "servers/retryadvice.h"
 
 #include <algorithm>
 #include <utility>
@@ -30,8 +31,8 @@
 
 constexpr double millisecondsPerSecond = 1000;
 
-constexpr Duration retryAfterMin = std::chrono::milliseconds(150);
-constexpr std::uint64_t retryAfterSpreadMicroseconds = 350000;
+// Assumed for requests that are refused before their route is known and state no deadline.
+constexpr Duration defaultRemainingTime = std::chrono::seconds(2);
 
 // A request waits for quota for at most this fraction of its latency objective:
 // a later refusal would only cost the caller time.
@@ -115,12 +116,12 @@
         = quotaCost(*m_account, m_request.hasTokenCounts, static_cast<double>(m_request.promptTokens + m_request.maxOutputTokens));
     const TimePoint waitDeadline = m_incoming.arrived + m_route->targetLatency / quotaWaitDivisor;
     m_quotaAcquisition = std::make_unique<QuotaAcquisition>(m_services, *m_account, m_request.id, cost, waitDeadline,
-                                                            [this](std::optional<ErrorKind> refusal) {
+                                                            [this](std::optional<ErrorKind> refusal, Duration wait) {
                                                                 if (m_isEnded) {
                                                                     return;
                                                                 }
                                                                 if (refusal.has_value()) {
-                                                                    fail(*refusal);
+                                                                    fail(*refusal, wait);
                                                                 } else {
                                                                     send();
                                                                 }
@@ -149,14 +150,9 @@
 
 platform::ForwardHeaders ProxyCall::makeForwardHeaders(const EndpointPlacement::Choice &choice, TransferPlan &transfers) const
 {
-    const TimePoint now = Loop::now();
     platform::ForwardHeaders forwardHeaders;
-    Duration remaining = m_timeoutAt - now;
-    if (m_request.deadline.has_value()) {
-        remaining = std::min(remaining, *m_request.deadline - (now - m_incoming.arrived));
-    }
     forwardHeaders.hasDeadline = true;
-    forwardHeaders.deadline = remaining;
+    forwardHeaders.deadline = remainingTime();
     forwardHeaders.instance = choice.id;
     if (m_account != nullptr) {
         forwardHeaders.account = m_account->name;
@@ -173,6 +169,17 @@
     return forwardHeaders;
 }
 
+Duration ProxyCall::remainingTime() const
+{
+    const TimePoint now = Loop::now();
+    Duration remaining = m_route == nullptr ? defaultRemainingTime : m_timeoutAt - now;
+    if (m_request.deadline.has_value()) {
+        const Duration untilDeadline = *m_request.deadline - (now - m_incoming.arrived);
+        remaining = m_route == nullptr ? untilDeadline : std::min(remaining, untilDeadline);
+    }
+    return remaining;
+}
+
 bool ProxyCall::isKeyStillValid() const
 {
     if (m_account == nullptr) {
@@ -215,7 +222,7 @@
     const Admission::Basis basis = choice.knownPrefixes < 0 ? Admission::Basis::Reported : Admission::Basis::Probed;
     if (m_isEngineService && m_attemptTracker->attemptCount() == 0
         && !Admission::admits(predicted, basis, waited, m_route->targetLatency)) {
-        fail(ErrorKind::Overloaded);
+        fail(ErrorKind::Overloaded, std::max(predicted - m_route->targetLatency / 2, Duration::zero()));
         return;
     }
     m_endpoint = choice.id;
@@ -424,7 +431,7 @@
     handleBroken();
 }
 
-void ProxyCall::fail(ErrorKind kind)
+void ProxyCall::fail(ErrorKind kind, Duration expectedWait)
 {
     if (m_attemptTracker.has_value() && !m_attemptTracker->isCertainlyNotRun() && errorResponse(kind).runState == RunState::NotRun) {
         // The endpoint may have run the request, so the error must not claim that it did not run.
@@ -438,8 +445,12 @@
     const ErrorResponse &response = errorResponse(kind);
     std::optional<Duration> retryAfter;
     if (response.httpStatus == 503 || response.httpStatus == 429) {
-        const std::uint64_t spread = hashBytes(m_request.id, prefixSeed) % retryAfterSpreadMicroseconds;
-        retryAfter = retryAfterMin + Duration(static_cast<std::int64_t>(spread));
+        retryAfter = RetryAdvice::retryAfter(expectedWait, remainingTime(), hashBytes(m_request.id, prefixSeed));
+        m_services.log.write("request", "told to return",
+                             {{"request", m_request.id},
+                              {"reason", response.name},
+                              {"waitMs", millisecondsText(expectedWait)},
+                              {"retryAfterMs", millisecondsText(*retryAfter)}});
     }
     m_services.listener.respond(m_exchange, platform::localResponseHead(response.httpStatus, m_request.id, retryAfter),
                                 std::string(response.text) + "\n");
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -58,6 +58,8 @@
     void acquireQuota();
     void send();
     bool isKeyStillValid() const;
+    /** The time until the caller or the route gives up. */
+    Duration remainingTime() const;
     void sendTo(const EndpointPlacement::Choice &choice);
     /** @param transfers receives the KV cache transfers that the headers ask for */
     platform::ForwardHeaders makeForwardHeaders(const EndpointPlacement::Choice &choice, TransferPlan &transfers) const;
@@ -72,7 +74,8 @@
     void retryOrFail(ErrorKind kind);
     void handleTimeout();
     void finish(const char *outcome);
-    void fail(ErrorKind kind);
+    /** @param expectedWait when the request is expected to be admitted if it returns; zero if unknown */
+    void fail(ErrorKind kind, Duration expectedWait = Duration::zero());
     void logOutcome(const char *outcome);
 
 public:
--- a/main/proxy/quotaacquisition.cpp
+++ b/main/proxy/quotaacquisition.cpp
@@ -47,7 +47,7 @@
         const bool isAcquired = m_services.quotaGate.tryConsumeOverdrawn(m_account, m_cost, now);
         finish(isAcquired ? std::nullopt : std::optional<ErrorKind>(ErrorKind::LimitsUnavailable));
     } else if (now + retryAfter > m_waitDeadline) {
-        finish(ErrorKind::OverLimit);
+        finish(ErrorKind::OverLimit, retryAfter);
     } else {
         m_timer = m_services.loop.timers().subscribeOnce(retryAfter, [this](TimePoint) {
             acquire();
@@ -55,10 +55,10 @@
     }
 }
 
-void QuotaAcquisition::finish(std::optional<ErrorKind> refusal)
+void QuotaAcquisition::finish(std::optional<ErrorKind> refusal, Duration wait)
 {
     m_isAcquired = !refusal.has_value();
-    m_handler(refusal);
+    m_handler(refusal, wait);
 }
 
 void QuotaAcquisition::refund()
--- a/main/proxy/quotaacquisition.h
+++ b/main/proxy/quotaacquisition.h
@@ -15,8 +15,11 @@
 class QuotaAcquisition
 {
 public:
-    /** Receives nullopt if the quota was acquired, otherwise the reason for the refusal. */
-    using Handler = std::function<void(std::optional<ErrorKind> refusal)>;
+    /**
+     * Receives nullopt if the quota was acquired, otherwise the reason for the refusal and the time after which the account is
+     * expected to have enough; zero if unknown.
+     */
+    using Handler = std::function<void(std::optional<ErrorKind> refusal, Duration wait)>;
 
 private:
     ProxyServices &m_services;
@@ -30,7 +33,7 @@
     bool m_isAcquired = false;
 
     void handleReservation(QuotaClient::Outcome outcome, Duration retryAfter);
-    void finish(std::optional<ErrorKind> refusal);
+    void finish(std::optional<ErrorKind> refusal, Duration wait = Duration::zero());
 
 public:
     /**
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -142,6 +142,7 @@
     const std::shared_ptr<const TrafficConfig> config = m_operatorFeed.config();
     const TrafficAccount *account = config == nullptr ? nullptr : config->findAccountByName(reserve.account);
     if (account != nullptr) {
+        m_quotaHolder.setDaemonCount(countEntryDaemons(Loop::now()));
         const QuotaHolder::Answer decision = m_quotaHolder.reserve(*account, static_cast<double>(reserve.tokens), Loop::now());
         answer.__set_isGranted(decision.isGranted);
         answer.__set_retryAfterMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter).count() + 1);
--- a/servers/quotagate.cpp
+++ b/servers/quotagate.cpp
@@ -13,6 +13,12 @@
 // bucket, and times when two daemons both act as the holder of an account.
 constexpr double usedToleranceShare = 0.6;
 
+// The share of the tolerated slack by which all entry daemons together may overdraw their buckets of an account.
+constexpr double overdraftShare = 0.5;
+
+constexpr double maxLocalShare = 0.3;
+constexpr int daemonsWithFullShare = 8;
+
 }
 
 double rateWithTolerance(const TrafficAccount &account, const QuotaTolerance &tolerance)
@@ -29,6 +35,11 @@
     return hasTokenCounts ? tokens : account.plainTokens;
 }
 
+double QuotaGate::localShare(int daemons)
+{
+    return maxLocalShare * std::min(1.0, static_cast<double>(daemonsWithFullShare) / std::max(daemons, 1));
+}
+
 QuotaGate::QuotaGate(QuotaTolerance tolerance)
     : m_tolerance(tolerance)
 {
@@ -41,7 +52,7 @@
 
 QuotaGate::Bucket &QuotaGate::refilledBucket(const TrafficAccount &account, TimePoint now)
 {
-    const double share = localShare / m_daemonCount;
+    const double share = localShare(m_daemonCount) / m_daemonCount;
     const double capacity = account.burst * share;
     Bucket &bucket = m_buckets[account.name];
     if (bucket.refilledAt == timeNever) {
@@ -70,7 +81,7 @@
 bool QuotaGate::tryConsumeOverdrawn(const TrafficAccount &account, double cost, TimePoint now)
 {
     Bucket &bucket = refilledBucket(account, now);
-    if (bucket.level <= 0) {
+    if (bucket.level <= 0 || bucket.level - cost < -m_tolerance.slack * overdraftShare / m_daemonCount) {
         return false;
     }
     bucket.level -= cost;
--- a/servers/quotagate.h
+++ b/servers/quotagate.h
@@ -35,10 +35,14 @@
 class QuotaGate
 {
 public:
-    /** The share of each rate that is divided evenly between the entry daemons. */
-    static constexpr double localShare = 0.3;
-    /** The number of entry daemons that is assumed until the actual number is known. */
-    static constexpr int defaultDaemonCount = 8;
+    /** The number of entry daemons that is assumed until the actual number is known; high, so that their buckets are small. */
+    static constexpr int defaultDaemonCount = 32;
+
+    /**
+     * The share of each rate that is divided evenly between @p daemons entry daemons. It shrinks as their number grows: the
+     * part of one daemon in a large fleet is less than a single request costs, and would be left unused.
+     */
+    static double localShare(int daemons);
 
 private:
     struct Bucket
@@ -61,7 +65,10 @@
     /** Deducts @p cost if the bucket holds that much. */
     bool tryConsume(const TrafficAccount &account, double cost, TimePoint now);
 
-    /** Deducts @p cost if the bucket is not empty; its level may become negative. Used while the holder is unreachable. */
+    /**
+     * Deducts @p cost if the bucket is not empty; its level may become negative, by this daemon's part of the tolerance.
+     * Used while the holder is unreachable, when all daemons may do so at once.
+     */
     bool tryConsumeOverdrawn(const TrafficAccount &account, double cost, TimePoint now);
 
     /** Refunds the cost of a request that did not run. */
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -23,7 +23,7 @@
     struct Answer
     {
         bool isGranted = false;
-        /** The time after which a refused request may be retried. */
+        /** The time after which a refused request may be retried. Grows with the requests refused before it, so that they return in turn. */
         Duration retryAfter{};
     };
 
@@ -32,16 +32,22 @@
     {
         double level = 0;
         TimePoint refilledAt{};
+        /** Cost of the refused requests that were told to return and could be granted by then. */
+        double promised = 0;
     };
 
     QuotaTolerance m_tolerance;
     std::map<std::string, Bucket> m_buckets;
+    int m_daemonCount = 1;
 
 public:
     explicit QuotaHolder(QuotaTolerance tolerance);
 
     void setTolerance(QuotaTolerance tolerance);
 
+    /** Sets the number of entry daemons, which determines the share of the rates that they use without the holder. */
+    void setDaemonCount(int count);
+
     /** Deducts @p cost from the account's bucket if granted. A large request may make its level negative. */
     Answer reserve(const TrafficAccount &account, double cost, TimePoint now);
 };
--- a/tests/servers/quota_test.cpp
+++ b/tests/servers/quota_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <iterator>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -52,27 +54,34 @@
 
 TEST_CASE("[QuotaHolder] An account never exceeds its rate, burst and tolerance under injected faults")
 {
-    // One account sends several times its rate through five daemons, while holders
+    // One account sends several times its rate through all entry daemons, while holders
     // restart, are replaced and become unreachable.
+    const int daemons = GENERATE(5, 33);
     for (unsigned int seed = 1; seed <= 300; ++seed) {
         std::mt19937 random(seed);
         const TrafficAccount busyAccount = account(std::uniform_real_distribution<double>(29000, 190000)(random));
         const double allowed
             = (busyAccount.ratePerSecond * toSeconds(window) + busyAccount.burst) * (1 + tolerance.overshoot) + tolerance.slack;
-        std::vector<QuotaGate> gates(5, QuotaGate(tolerance));
+        std::vector<QuotaGate> gates(daemons, QuotaGate(tolerance));
         for (QuotaGate &gate : gates) {
-            gate.setDaemonCount(5);
+            gate.setDaemonCount(daemons);
         }
         QuotaHolder holder(tolerance);
         QuotaHolder otherHolder(tolerance);
+        holder.setDaemonCount(daemons);
+        otherHolder.setDaemonCount(daemons);
         std::lognormal_distribution<double> cost(9.0, 0.6);
         std::uniform_real_distribution<double> chance(0, 1);
         WindowMaximum used;
         TimePoint unreachableUntil = start;
         for (TimePoint now = start; now < start + std::chrono::seconds(40); now += std::chrono::milliseconds(15)) {
             if (chance(random) < 0.001) {
+                // It learns the number of daemons from their messages, after its first grants.
                 holder = QuotaHolder(tolerance);
             }
+            if (chance(random) < 0.01) {
+                holder.setDaemonCount(daemons);
+            }
             if (chance(random) < 0.001) {
                 // After a change of the endpoints, another daemon holds the account.
                 std::swap(holder, otherHolder);
@@ -151,3 +160,56 @@
     }
     CHECK(granted <= 0.25 * tolerance.slack);
 }
+
+TEST_CASE("[QuotaHolder] In a large fleet too, an account whose requests are large can use nearly its whole rate")
+{
+    // 33 daemons and an account that sends 0.95 of its rate in requests of 9,000 tokens. The even part of one daemon is less
+    // than a request costs.
+    constexpr int daemons = 33;
+    const TrafficAccount largeAccount = account(500000);
+    std::mt19937 random(5);
+    std::vector<QuotaGate> gates(daemons, QuotaGate(tolerance));
+    for (QuotaGate &gate : gates) {
+        gate.setDaemonCount(daemons);
+    }
+    QuotaHolder holder(tolerance);
+    holder.setDaemonCount(daemons);
+    int refused = 0;
+    int requests = 0;
+    constexpr double cost = 9000;
+    const Duration interval = fromSeconds(cost / (0.95 * largeAccount.ratePerSecond));
+    for (TimePoint now = start; now < start + std::chrono::seconds(30); now += interval) {
+        if (now < start + std::chrono::seconds(2)) {
+            holder.reserve(largeAccount, 0, now);
+            continue;
+        }
+        ++requests;
+        const bool isAdmitted = gates[random() % gates.size()].tryConsume(largeAccount, cost, now)
+            || holder.reserve(largeAccount, cost, now).isGranted;
+        refused += isAdmitted ? 0 : 1;
+    }
+    CHECK(refused * 100 <= requests);
+}
+
+TEST_CASE("[QuotaHolder] Refused requests are told to return in turn, and are granted when they do")
+{
+    // 40 requests arrive at once at an account that sends far over its rate.
+    QuotaHolder holder(tolerance);
+    const TrafficAccount busyAccount = account(60000);
+    REQUIRE(holder.reserve(busyAccount, 9000, start).isGranted);
+    std::multimap<TimePoint, int> returns;
+    constexpr double cost = 2000;
+    for (int i = 0; i < 40; ++i) {
+        const QuotaHolder::Answer answer = holder.reserve(busyAccount, cost, start);
+        if (!answer.isGranted) {
+            returns.emplace(start + answer.retryAfter + std::chrono::milliseconds(1), i);
+        }
+    }
+    REQUIRE(returns.size() >= 30);
+    CHECK(std::prev(returns.end())->first - returns.begin()->first > std::chrono::milliseconds(800));
+    int granted = 0;
+    for (const std::pair<const TimePoint, int> &request : returns) {
+        granted += holder.reserve(busyAccount, cost, request.first).isGranted ? 1 : 0;
+    }
+    CHECK(granted == static_cast<int>(returns.size()));
+}
