--- a/main/proxy/kvstorewatch.cpp
+++ b/main/proxy/kvstorewatch.cpp
@@ -120,9 +120,7 @@
     store.stored.setSubscribed(true);
     if (events.bootEpoch != feed.bootEpoch || events.hasGap) {
         m_log.write("kv store", "contents unknown, known prefixes cleared",
-                    {{"address", store.info.address},
-                     {"epoch", std::to_string(events.bootEpoch)},
-                     {"gap", events.hasGap ? "yes" : "no"}});
+                    {{"address", store.info.address}, {"epoch", std::to_string(events.bootEpoch)}, {"gap", events.hasGap ? "yes" : "no"}});
         store.stored.clear();
         feed.bootEpoch = events.bootEpoch;
     }
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -122,7 +122,10 @@
     });
     m_operatorFeed.onConfig([this](const TrafficConfig &config) {
         applyLimits(config);
-        startHeldRequests();
+        // The feed confirms the configuration only after it has applied it, and requests are not fresh before.
+        m_core.timers().subscribeOnce(Duration::zero(), [this](TimePoint) {
+            startHeldRequests();
+        });
     });
     m_operatorFeed.onWeights([this](const std::string &model, std::int64_t version) {
         scheduleWeightsCutoff(model, version);
--- a/main/proxy/quotaacquisition.cpp
+++ b/main/proxy/quotaacquisition.cpp
@@ -6,6 +6,14 @@
 namespace citronspar
 {
 
+namespace
+{
+
+// A daemon that has just started connects to the holders within this time.
+constexpr Duration unreachableRetryDelay = std::chrono::milliseconds(15);
+
+}
+
 QuotaAcquisition::QuotaAcquisition(ProxyServices &services, const TrafficAccount &account, std::string requestId, double cost,
                                    TimePoint waitDeadline, Handler handler)
     : m_services(services)
@@ -44,17 +52,27 @@
     if (outcome == QuotaClient::Outcome::Granted) {
         finish(std::nullopt);
     } else if (outcome == QuotaClient::Outcome::NoResponse) {
-        const bool isAcquired = m_services.quotaGate.tryConsumeOverdrawn(m_account, m_cost, now);
-        finish(isAcquired ? std::nullopt : std::optional<ErrorKind>(ErrorKind::LimitsUnavailable));
+        if (m_services.quotaGate.tryConsumeOverdrawn(m_account, m_cost, now)) {
+            finish(std::nullopt);
+        } else if (now + unreachableRetryDelay > m_waitDeadline) {
+            finish(ErrorKind::LimitsUnavailable);
+        } else {
+            acquireAfter(unreachableRetryDelay);
+        }
     } else if (now + retryAfter > m_waitDeadline) {
         finish(ErrorKind::OverLimit, retryAfter);
     } else {
-        m_timer = m_services.loop.timers().subscribeOnce(retryAfter, [this](TimePoint) {
-            acquire();
-        });
+        acquireAfter(retryAfter);
     }
 }
 
+void QuotaAcquisition::acquireAfter(Duration delay)
+{
+    m_timer = m_services.loop.timers().subscribeOnce(delay, [this](TimePoint) {
+        acquire();
+    });
+}
+
 void QuotaAcquisition::finish(std::optional<ErrorKind> refusal, Duration wait)
 {
     m_isAcquired = !refusal.has_value();
--- a/main/proxy/quotaacquisition.h
+++ b/main/proxy/quotaacquisition.h
@@ -33,6 +33,7 @@
     bool m_isAcquired = false;
 
     void handleReservation(QuotaClient::Outcome outcome, Duration retryAfter);
+    void acquireAfter(Duration delay);
     void finish(std::optional<ErrorKind> refusal, Duration wait = Duration::zero());
 
 public:
--- a/servers/quotagate.cpp
+++ b/servers/quotagate.cpp
@@ -14,7 +14,7 @@
 constexpr double usedToleranceShare = 0.6;
 
 // The share of the tolerated slack by which all entry daemons together may overdraw their buckets of an account.
-constexpr double overdraftShare = 0.5;
+constexpr double overdraftShare = 1.0;
 
 constexpr double maxLocalShare = 0.3;
 constexpr int daemonsWithFullShare = 8;
--- a/servers/quotagate.h
+++ b/servers/quotagate.h
@@ -35,8 +35,8 @@
 class QuotaGate
 {
 public:
-    /** The number of entry daemons that is assumed until the actual number is known; high, so that their buckets are small. */
-    static constexpr int defaultDaemonCount = 32;
+    /** The number of entry daemons that is assumed until the actual number is known. */
+    static constexpr int defaultDaemonCount = 8;
 
     /**
      * The share of each rate that is divided evenly between @p daemons entry daemons. It shrinks as their number grows: the
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -23,7 +23,8 @@
     struct Answer
     {
         bool isGranted = false;
-        /** The time after which a refused request may be retried. Grows with the requests refused before it, so that they return in turn. */
+        /** The time after which a refused request may be retried. Grows with the requests refused before it, so that they return in turn.
+         */
         Duration retryAfter{};
     };
 
--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -78,6 +78,10 @@
         const std::string table = queryParameter(target, "table");
         if (target.rfind("/citronspar/rows-feed", 0) == 0) {
             handleFeed(id, table, std::stoll(queryParameter(target, "after")), std::stoll(queryParameter(target, "waitMs")));
+        } else if (target.rfind("/citronspar/rows-get", 0) == 0 && table == delayedTable) {
+            m_loop.timers().subscribeOnce(std::chrono::milliseconds(30), [this, id, table](TimePoint) {
+                respond(id, 200, rowsAfter(table, 0));
+            });
         } else if (target.rfind("/citronspar/rows-get", 0) == 0) {
             respond(id, 200, rowsAfter(table, 0));
         } else {
@@ -111,6 +115,8 @@
     /** Whether requests get status 503. */
     bool isUnavailable = false;
     int requestCount = 0;
+    /** The snapshot of this table is sent 30 ms late. */
+    std::string delayedTable;
     /** Feed requests whose "after" parameter is below this version get status 410. */
     std::int64_t oldestFeedVersion = 0;
 
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -481,3 +481,35 @@
     CHECK(proxy.eventuallyResponds("/once/x", "good-key", 503));
     CHECK(Loop::now() - announcedAt < settings.platform->drainLimit);
 }
+
+TEST_CASE("[ProxyRole] A request that arrives before the first configuration is served as soon as it is read, whichever table comes last")
+{
+    // A busy machine may exceed the hold time, so the test makes several attempts.
+    const std::string delayedTable = GENERATE("op", "servers");
+    bool isServed = false;
+    for (int i = 0; i < 5 && !isServed; ++i) {
+        DaemonCore core(entryDaemonSettings());
+        FakeStore store(core.loop(), parseSocketAddress(storeAddress));
+        store.delayedTable = delayedTable;
+        store.put("op", "config", makeConfig(7, {"good-key"}));
+        FakeEndpoint endpoint(core.loop(), parseSocketAddress(endpointAddresses[0]), "i-one");
+        store.put("servers", "i-one", makeEntry(endpointAddresses[0]));
+        PeerLinks links(core);
+        ProxyRole role(core, links, *core.settings().platform);
+        REQUIRE(role.open());
+        HttpPool callers(core.loop());
+        HttpCall call;
+        call.target = parseSocketAddress(frontAddress);
+        call.head.method = "GET";
+        call.head.target = "/once/x";
+        call.head.set("Host", "h");
+        call.head.set("Citronspar-Request-Id", "r1");
+        call.head.set("Authorization", "Bearer good-key");
+        callers.fetch(std::move(call), std::chrono::seconds(3), [&](HttpCallResult, const HttpHead &head, const std::string &) {
+            isServed = head.status == 200;
+            core.loop().stop();
+        });
+        core.loop().run();
+    }
+    CHECK(isServed);
+}
--- a/tests/servers/quota_test.cpp
+++ b/tests/servers/quota_test.cpp
@@ -184,8 +184,8 @@
             continue;
         }
         ++requests;
-        const bool isAdmitted = gates[random() % gates.size()].tryConsume(largeAccount, cost, now)
-            || holder.reserve(largeAccount, cost, now).isGranted;
+        const bool isAdmitted
+            = gates[random() % gates.size()].tryConsume(largeAccount, cost, now) || holder.reserve(largeAccount, cost, now).isGranted;
         refused += isAdmitted ? 0 : 1;
     }
     CHECK(refused * 100 <= requests);
