Tests of slow, stalled and endless responses, and of running work of a listed-out endpoint

What operators of similar systems have told: slow but sound streams that are cut, stalled ones that never end, running work that is given up when a machine is late to report. By reading none can happen here: no timer runs on pauses of a stream, the route's timeout ends a stalled one, and the list only decides on new requests.

--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -178,6 +178,12 @@
         ServerError,
         /** Keeps the connection open without a response. */
         NoResponse,
+        /** Streams the events up to lastEventId with a pause of eventPause before each. */
+        SlowStream,
+        /** Streams a byte of an event every 20 ms and never completes it. */
+        Stalling,
+        /** Sends a response without the seal header whose body does not end. */
+        EndlessUnsigned,
     };
 
     struct Received
@@ -187,6 +193,7 @@
     };
 
 private:
+    Loop &m_loop;
     HttpListener m_listener;
 
     HttpHead makeHead(const HttpIncomingRequest &request, int status) const
@@ -240,9 +247,45 @@
             return;
         case Behaviour::NoResponse:
             return;
+        case Behaviour::SlowStream:
+            m_listener.begin(id, head, -1);
+            sendSlowly(id, 1);
+            return;
+        case Behaviour::Stalling:
+            m_listener.begin(id, head, -1);
+            writeRepeatedly(id, ":", std::chrono::milliseconds(20));
+            return;
+        case Behaviour::EndlessUnsigned:
+            m_listener.begin(id, makeHead(request, 200), -1);
+            writeRepeatedly(id, std::string(64 * 1024, 'x'), std::chrono::milliseconds(1));
+            return;
         }
     }
 
+    void sendSlowly(HttpListener::ExchangeId id, int event)
+    {
+        m_loop.timers().subscribeOnce(eventPause, [this, id, event](TimePoint) {
+            m_listener.write(id, eventText(event));
+            if (event == lastEventId) {
+                m_listener.finish(id);
+            } else {
+                sendSlowly(id, event + 1);
+            }
+        });
+    }
+
+    void writeRepeatedly(HttpListener::ExchangeId id, const std::string &text, Duration interval)
+    {
+        const int disconnectsBefore = disconnectCount;
+        m_loop.timers().subscribeOnce(interval, [this, id, text, interval, disconnectsBefore](TimePoint) {
+            if (disconnectCount == disconnectsBefore) {
+                m_listener.write(id, text);
+                writtenBytes += text.size();
+                writeRepeatedly(id, text, interval);
+            }
+        });
+    }
+
     void sendStream(HttpListener::ExchangeId id, const HttpHead &head, const HttpIncomingRequest &request, int last)
     {
         const std::string lastEventHeader = request.head.value("Last-Event-Id");
@@ -258,11 +301,14 @@
     std::string instanceId;
     Behaviour behaviour = Behaviour::SendStream;
     int lastEventId = 4;
+    Duration eventPause = std::chrono::milliseconds(100);
+    std::size_t writtenBytes = 0;
     int disconnectCount = 0;
     std::vector<Received> received;
 
     FakeEndpoint(Loop &loop, const SocketAddress &address, std::string id)
-        : m_listener(loop)
+        : m_loop(loop)
+        , m_listener(loop)
         , instanceId(std::move(id))
     {
         m_listener.onRequest([this](HttpListener::ExchangeId exchange, const HttpIncomingRequest &request) {
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -513,3 +513,49 @@
     }
     CHECK(isServed);
 }
+
+TEST_CASE("[ProxyRole] A slow stream is relayed whole, also when its endpoint leaves the list meanwhile, and runs once")
+{
+    ProxyFixture proxy;
+    proxy.setBehaviours(Behaviour::SlowStream, Behaviour::SlowStream);
+    // The list is read by the entry daemon while the stream runs; an endpoint that is silent or late to report is removed from it.
+    proxy.core.timers().subscribeOnce(std::chrono::milliseconds(150), [&](TimePoint) {
+        for (const std::string &address : endpointAddresses) {
+            proxy.store.put("servers", "i-" + address, "gone", true);
+        }
+    });
+    const Response response = proxy.sendRequest("/stream/x");
+    CHECK(response.result == HttpCallResult::Complete);
+    CHECK(response.body == FakeEndpoint::completeStream());
+    CHECK(proxy.receivedCount() == 1);
+    CHECK(proxy.endpoints[0]->disconnectCount + proxy.endpoints[1]->disconnectCount == 0);
+}
+
+TEST_CASE("[ProxyRole] A stalled stream that sends a byte now and then ends at the route's timeout")
+{
+    ProxyFixture proxy;
+    proxy.setBehaviours(Behaviour::Stalling, Behaviour::Stalling);
+    const TimePoint sentAt = Loop::now();
+    const Response response = proxy.sendRequest("/plain-stream/x");
+    CHECK(response.head.status == 504);
+    CHECK(Loop::now() - sentAt >= std::chrono::milliseconds(700));
+    CHECK(fakes::runUntil(proxy.core.loop(), [&]() {
+        return proxy.endpoints[0]->disconnectCount + proxy.endpoints[1]->disconnectCount == 1;
+    }));
+}
+
+TEST_CASE("[ProxyRole] An endpoint that sends an unsigned body without end is cut off at once, and others are served meanwhile")
+{
+    ProxyFixture proxy;
+    proxy.setBehaviours(Behaviour::EndlessUnsigned, Behaviour::SendStream);
+    const TimePoint sentAt = Loop::now();
+    for (int i = 0; i < 4; ++i) {
+        CHECK(proxy.sendRequest("/again/x").head.status == 200);
+    }
+    proxy.setBehaviours(Behaviour::EndlessUnsigned, Behaviour::EndlessUnsigned);
+    // The request may have run, so the response does not say that it did not.
+    CHECK(proxy.sendRequest("/once/x").head.status == 502);
+    // Without a limit, the bytes are buffered until the timeout of the route.
+    CHECK(proxy.endpoints[0]->writtenBytes + proxy.endpoints[1]->writtenBytes < 8U * 1024 * 1024);
+    CHECK(Loop::now() - sentAt < std::chrono::seconds(60));
+}
