--- a/servers/quotaholder.cpp
+++ b/servers/quotaholder.cpp
@@ -17,9 +17,6 @@
 // daemon may have held it meanwhile.
 constexpr Duration idleTimeout = std::chrono::seconds(1);
 
-// Callers return after at most a few seconds; the cost of refused requests beyond this time is forgotten.
-constexpr Duration maxPromise = std::chrono::seconds(2);
-
 }
 
 QuotaHolder::QuotaHolder(QuotaTolerance tolerance)
@@ -46,21 +43,15 @@
     if (existing != m_buckets.end() && now - existing->second.refilledAt > idleTimeout) {
         m_buckets.erase(existing);
     }
-    const std::pair<std::map<std::string, Bucket>::iterator, bool> inserted = m_buckets.emplace(account.name, Bucket{initialLevel, now, 0});
+    const std::pair<std::map<std::string, Bucket>::iterator, bool> inserted = m_buckets.emplace(account.name, Bucket{initialLevel, now});
     Bucket &bucket = inserted.first->second;
     const double seconds = std::max(0.0, toSeconds(now - bucket.refilledAt));
     bucket.level = std::min(account.burst * holderShare, bucket.level + seconds * rate);
-    bucket.promised = std::max(0.0, bucket.promised - seconds * rate);
     bucket.refilledAt = now;
     // A request larger than half the capacity may overdraw the bucket; otherwise it would hardly ever be granted.
     const double needed = std::min(cost, account.burst * holderShare / 2);
     if (bucket.level < needed) {
-        if (rate <= 0) {
-            return Answer{false, std::chrono::seconds(1)};
-        }
-        const Duration wait = fromSeconds((needed - bucket.level + bucket.promised) / rate);
-        bucket.promised = std::min(bucket.promised + cost, toSeconds(maxPromise) * rate);
-        return Answer{false, wait};
+        return Answer{false, rate > 0 ? fromSeconds((needed - bucket.level) / rate) : Duration(std::chrono::seconds(1))};
     }
     bucket.level -= cost;
     return Answer{true, Duration::zero()};
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -23,8 +23,7 @@
     struct Answer
     {
         bool isGranted = false;
-        /** The time after which a refused request may be retried. Grows with the requests refused before it, so that they return in turn.
-         */
+        /** The time after which the bucket has enough for a refused request. */
         Duration retryAfter{};
     };
 
@@ -33,8 +32,6 @@
     {
         double level = 0;
         TimePoint refilledAt{};
-        /** Cost of the refused requests that were told to return and could be granted by then. */
-        double promised = 0;
     };
 
     QuotaTolerance m_tolerance;
