--- a/main/proxy/engineprobes.h
+++ b/main/proxy/engineprobes.h
@@ -67,9 +67,9 @@
      * @param tokens prompt tokens that the engine has to prefill
      */
     PromptId reportPromptSent(const std::string &address, std::int64_t tokens, const Prefixes &prefixes);
-    /** Tells the endpoint daemon at @p address, the directory of a prefix, that @p engine has the prefix cached now. */
+    /** Reports to a prefix's directory, the endpoint daemon at @p address, that @p engine has the prefix cached. */
     void reportCached(const std::string &address, std::int64_t prefix, const std::string &engine);
-    /** Tells the endpoint daemon at @p address, the directory of a prefix, that the prefix is being saved to a KV cache store. */
+    /** Reports to a prefix's directory, the endpoint daemon at @p address, that a request saves the prefix to a KV cache store. */
     void reportSaved(const std::string &address, std::int64_t prefix);
     /** Reports that the prompt is no longer pending: it was prefilled (@p isPrefilled) or will not be. */
     void reportPromptDone(PromptId id, bool isPrefilled);
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -237,7 +237,7 @@
   bool isLeaving;
   int64_t prefillTokensPerSecond;
   /**
-   * Id of the engine that cached all of the probed prefixes most recently, as far as this daemon was told; empty if unknown.
+   * Id of the engine that was last reported to have cached all of the probed prefixes; empty if unknown.
    */
   std::string cachedEngine;
   /**
@@ -1717,7 +1717,7 @@
 } _PrefixUse__isset;
 
 /**
- * Tells the endpoint daemon that keeps the directory of a prefix where the prefix can be fetched from.
+ * Reports where a prefix can be fetched from to the endpoint daemon that keeps its directory.
  */
 class PrefixUse : public virtual ::apache::thrift::TBase {
  public:
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -22,7 +22,7 @@
   5: string weights
   6: bool isLeaving
   7: i64 prefillTokensPerSecond
-  /** Id of the engine that cached all of the probed prefixes most recently, as far as this daemon was told; empty if unknown. */
+  /** Id of the engine that was last reported to have cached all of the probed prefixes; empty if unknown. */
   8: string cachedEngine
   /** Age of that information. */
   9: i64 cachedAgeMilliseconds
@@ -196,7 +196,7 @@
   2: bool isRead
 }
 
-/** Tells the endpoint daemon that keeps the directory of a prefix where the prefix can be fetched from. */
+/** Reports where a prefix can be fetched from to the endpoint daemon that keeps its directory. */
 struct PrefixUse {
   1: i64 prefix
   /** Id of the engine that has prefilled or fetched the prefix; empty if none has. */
--- a/servers/transferplanner.h
+++ b/servers/transferplanner.h
@@ -17,7 +17,7 @@
  * Decides for each request whether its engine fetches the shared prefix, from
  * which source, and whether it saves the prompt to a KV cache store.
  * A prefix is fetched from an engine that is known to have it, over many links
- * in parallel, else from its store. A fetch that finds nothing costs a
+ * in parallel, else from its store. A fetch with a cache miss costs a
  * millisecond, a prefill of the prefix a hundred.
  * After a weights change most prefixes are new, but nearly all begin with one of
  * a few first parts (templates), which every engine would otherwise prefill
@@ -37,7 +37,7 @@
     /** Returns an engine that is known to have the whole shared prefix cached; empty if none is. */
     std::string findSource(const TransferQuery &query, const ResidentPrefixes::EngineFilter &isOtherUsable, bool isStored,
                            TimePoint now) const;
-    /** Plans the fetch of a prefix that the engine most likely has, in case it was evicted; else the fetch transfers nothing. */
+    /** Plans a fallback fetch of a prefix that is expected to be cached. It transfers data only if the engine has evicted the prefix. */
     void planRefetch(const TransferQuery &query, TimePoint now, TransferPlan &plan);
     /** Plans the fetch of the first part of a prefix that is assumed to be new. */
     void planTemplateFetch(const TransferQuery &query, const ResidentPrefixes::EngineFilter &isOtherUsable, TimePoint now,
