Log which prompt parts ran on an endpoint when a connection to it was lost

The new line 'connection to endpoint lost' has the endpoint, the shared parts of the prompt, the time since the request was sent and the last event. No decision is changed.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -42,6 +42,19 @@
 constexpr std::uint64_t prefixSeed = 0x9e37;
 constexpr int firstServerErrorStatus = 500;
 
+// A log line names at most this many parts of a prompt.
+constexpr std::size_t maxLoggedParts = 12;
+
+/** The ids of all parts but the last, which other requests may share, for the log. */
+std::string sharedPartsText(const platform::CallerRequest &request)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < request.parts.size() && i < maxLoggedParts; ++i) {
+        text += (i == 0 ? "" : ",") + request.parts[i].id;
+    }
+    return text;
+}
+
 /** Computes the prefix hashes and token counts of the prompt. All parts but the last are shared with other requests. */
 PlacedPrompt makePlacedPrompt(const platform::CallerRequest &request)
 {
@@ -229,6 +242,7 @@
     m_triedEndpoints.push_back(choice.id);
     m_isPromptDone = false;
     m_sentWeights = choice.weightsVersion;
+    m_sentAt = Loop::now();
     m_attemptTracker->recordSent();
     HttpCall call;
     call.target = parseSocketAddress(endpoint->address);
@@ -324,6 +338,7 @@
     }
     if (result == HttpCallResult::Broken) {
         placement().recordFailure(endpoint, Loop::now());
+        logConnectionLost(endpoint);
         handleBroken();
         return;
     }
@@ -348,6 +363,17 @@
     handleComplete();
 }
 
+void ProxyCall::logConnectionLost(const std::string &endpoint)
+{
+    m_services.log.write("request", "connection to endpoint lost",
+                         {{"request", m_request.id},
+                          {"endpoint", endpoint},
+                          {"parts", sharedPartsText(m_request)},
+                          {"sinceSentMs", millisecondsText(Loop::now() - m_sentAt)},
+                          {"lastEvent", m_relay.lastEventId().value_or("")},
+                          {"try", std::to_string(m_attemptTracker->attemptCount())}});
+}
+
 void ProxyCall::handleNotRun()
 {
     m_attemptTracker->recordNotRun();
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -50,6 +50,8 @@
     /** The weights version of the engine that the request was sent to. */
     std::int64_t m_sentWeights = 0;
     std::string m_cacheSalt;
+    /** When the current attempt was sent. */
+    TimePoint m_sentAt{};
 
     bool m_isEnded = false;
 
@@ -66,6 +68,7 @@
 
     void handleData(std::string_view data);
     void handleEnd(HttpCallResult result);
+    void logConnectionLost(const std::string &endpoint);
     void handleNotRun();
     void handleBroken();
     void handleComplete();
