--- a/drivers/httplistener.cpp
+++ b/drivers/httplistener.cpp
@@ -28,11 +28,16 @@
         accept(descriptor);
     })
 {
-    loop.timers().subscribe(expiryCheckPeriod, [this](TimePoint now) {
+    m_expiryTimer = loop.timers().subscribe(expiryCheckPeriod, [this](TimePoint now) {
         closeExpired(now);
     });
 }
 
+HttpListener::~HttpListener()
+{
+    m_loop.timers().unsubscribe(m_expiryTimer);
+}
+
 bool HttpListener::open(const SocketAddress &address)
 {
     return m_tcpListener.open(address);
--- a/drivers/httplistener.h
+++ b/drivers/httplistener.h
@@ -71,6 +71,7 @@
     std::map<ExchangeId, ConnectionId> m_exchanges;
     std::uint64_t m_lastId = 0;
     bool m_isStopping = false;
+    TimerService::TimerId m_expiryTimer = 0;
 
     void accept(int descriptor);
     void receive(ConnectionId id, std::string_view data);
@@ -85,6 +86,10 @@
 
 public:
     explicit HttpListener(Loop &loop);
+    ~HttpListener();
+
+    HttpListener(const HttpListener &) = delete;
+    HttpListener &operator=(const HttpListener &) = delete;
 
     /** Starts listening on @p address. Returns false if the address can't be bound. */
     bool open(const SocketAddress &address);
--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -85,11 +86,37 @@
         } else if (target.rfind("/citronspar/rows-get", 0) == 0) {
             respond(id, 200, rowsAfter(table, 0));
         } else {
-            ++m_version;
-            respond(id, 200, nlohmann::json::array());
+            handleTransaction(id, nlohmann::json::parse(request.body, nullptr, false));
         }
     }
 
+    std::int64_t versionOf(const nlohmann::json &row) const
+    {
+        const auto table = m_tables.find(row.value("table", std::string()));
+        if (table == m_tables.end() || table->second.count(row.value("key", std::string())) == 0) {
+            return 0;
+        }
+        const nlohmann::json &stored = table->second.at(row.value("key", std::string()));
+        return stored.value("deleted", false) ? 0 : stored.at("ver").get<std::int64_t>();
+    }
+
+    void handleTransaction(HttpListener::ExchangeId id, const nlohmann::json &transaction)
+    {
+        for (const nlohmann::json &row : transaction.value("expected", nlohmann::json::array())) {
+            if (versionOf(row) != row.value("ver", std::int64_t(0))) {
+                respond(id, 412, nlohmann::json::array());
+                return;
+            }
+        }
+        for (const nlohmann::json &row : transaction.value("puts", nlohmann::json::array())) {
+            put(row.at("table").get<std::string>(), row.at("key").get<std::string>(), decodeBase64(row.at("value").get<std::string>()));
+        }
+        for (const nlohmann::json &row : transaction.value("remove", nlohmann::json::array())) {
+            put(row.at("table").get<std::string>(), row.at("key").get<std::string>(), std::string(), true);
+        }
+        respond(id, 200, nlohmann::json::array());
+    }
+
     void handleFeed(HttpListener::ExchangeId id, const std::string &table, std::int64_t after, std::int64_t waitMs)
     {
         if (after < oldestFeedVersion) {
@@ -213,6 +240,13 @@
     void handleRequest(HttpListener::ExchangeId id, const HttpIncomingRequest &request)
     {
         received.push_back(Received{request.head, request.body});
+        if (crashes && crashes(request)) {
+            // The handler may destroy this object.
+            m_loop.timers().subscribeOnce(std::chrono::milliseconds(2), [handler = onCrash](TimePoint) {
+                handler();
+            });
+            return;
+        }
         if (request.head.value("Citronspar-Expect-Instance") != instanceId) {
             HttpHead wrongInstance = makeHead(request, 421);
             wrongInstance.set("Citronspar-Instance-Id", instanceId);
@@ -305,6 +339,9 @@
     std::size_t writtenBytes = 0;
     int disconnectCount = 0;
     std::vector<Received> received;
+    /** Whether the endpoint crashes when it runs the request; if so, onCrash is called instead of a response. */
+    std::function<bool(const HttpIncomingRequest &request)> crashes;
+    std::function<void()> onCrash;
 
     FakeEndpoint(Loop &loop, const SocketAddress &address, std::string id)
         : m_loop(loop)
