A failing test: an endpoint that states a limit on its requests gets far more

One entry daemon, two endpoints, one of which states 1 request a second: it gets 192 requests in 4 s.

--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -229,6 +229,9 @@
         head.status = status;
         head.reason = "Any";
         head.set("Citronspar-Request-Id", request.head.value("Citronspar-Request-Id"));
+        if (!statedLimit.empty()) {
+            head.set("Server-Limit", statedLimit);
+        }
         return head;
     }
 
@@ -335,6 +338,8 @@
     std::string instanceId;
     Behaviour behaviour = Behaviour::SendStream;
     int lastEventId = 4;
+    /** The limit on requests per second that the responses state; empty for none. */
+    std::string statedLimit;
     Duration eventPause = std::chrono::milliseconds(100);
     std::size_t writtenBytes = 0;
     int disconnectCount = 0;
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -559,3 +559,30 @@
     CHECK(proxy.endpoints[0]->writtenBytes + proxy.endpoints[1]->writtenBytes < 8U * 1024 * 1024);
     CHECK(Loop::now() - sentAt < std::chrono::seconds(60));
 }
+
+TEST_CASE("[ProxyRole] An endpoint that states a limit on its requests gets no more, and the others take the rest", "[!mayfail]")
+{
+    ProxyFixture proxy;
+    proxy.endpoints[0]->statedLimit = "1";
+    // The daemon learns the limit with the first response.
+    while (proxy.endpoints[0]->received.empty()) {
+        REQUIRE(proxy.sendRequest("/once/x").head.status == 200);
+    }
+    const std::size_t before = proxy.endpoints[0]->received.size();
+    const TimePoint end = Loop::now() + std::chrono::seconds(4);
+    int served = 0;
+    int sent = 0;
+    while (Loop::now() < end) {
+        ++sent;
+        served += proxy.sendRequest("/once/x").head.status == 200 ? 1 : 0;
+        proxy.runFor(std::chrono::milliseconds(20));
+    }
+    // One and a half times what the limit allows in 4 s, and 5 requests.
+    CHECK(proxy.endpoints[0]->received.size() - before <= 11);
+    CHECK(served == sent);
+    proxy.endpoints[1]->statedLimit = "1";
+    proxy.sendRequest("/once/x");
+    const Response refused = proxy.sendRequest("/once/x");
+    CHECK(refused.head.status == 503);
+    CHECK(refused.head.find("Retry-After") != nullptr);
+}
