Keep to the requests per second that an endpoint states, all entry daemons together

What was seen: an engine that had stated 1 request a second got 13 in 4 s from entry daemons that knew it (11 allowed). Cause: the header was not decoded (class: a limit on the sum over the fleet, of which each daemon sees a part; the quota of client accounts has a holder for that, the endpoints' own limits had nothing). Fix: the limit is decoded from each response of the endpoint, and each attempt to a limited endpoint is reserved at one holder: the daemon beside the engine, or the one that rendezvous hashing names. What it refuses goes to another endpoint, or is rejected at once with the holder's wait as Retry-After. A new holder waits until all daemons use it; without a holder each daemon uses a small even part. An account that was refused goes before one that has got more.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -31,6 +31,11 @@
 
 constexpr Duration misdirectedAnswerTime = std::chrono::milliseconds(300);
 
+// How long a reservation of an endpoint's limit may be used.
+constexpr Duration reservationLifetime = std::chrono::milliseconds(150);
+// How long an endpoint is avoided if the holder of its limit does not answer.
+constexpr Duration avoidWithoutHolder = std::chrono::milliseconds(250);
+
 constexpr double millisecondsPerSecond = 1000;
 
 // Assumed for requests that are refused before their route is known and state no deadline.
@@ -117,6 +122,7 @@
 {
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
     m_services.crashGuard.cancelClaim(m_trialClaim);
+    m_services.quotaClient.cancel(m_endpointReservation);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -240,6 +246,8 @@
     m_endpointSearch->start(m_triedEndpoints, [this](const std::optional<EndpointPlacement::Choice> &choice) {
         if (choice.has_value()) {
             sendTo(*choice);
+        } else if (m_limitWait.has_value()) {
+            fail(ErrorKind::Overloaded, *m_limitWait);
         } else {
             fail(ErrorKind::NoEndpoint);
         }
@@ -278,8 +286,17 @@
         claimTrial(choice, verdict);
         return;
     }
+    const EndpointStart start{endpoint->id, endpoint->address, endpoint->startedMs};
+    const EndpointLimit *limit = m_services.endpointLimits.find(startName(start));
+    // A process that was paused sends no request on a reservation that others have used since.
+    const bool isReserved = m_reservedStart == startName(start) && Loop::now() - m_reservedAt < reservationLifetime;
+    if (limit != nullptr && !isReserved) {
+        reserveAtEndpoint(choice, *endpoint, *limit);
+        return;
+    }
+    m_reservedStart.clear();
     m_endpoint = choice.id;
-    m_endpointStart = EndpointStart{endpoint->id, endpoint->address, endpoint->startedMs};
+    m_endpointStart = start;
     m_triedEndpoints.push_back(choice.id);
     m_isPromptDone = false;
     m_sentWeights = choice.weightsVersion;
@@ -300,6 +317,7 @@
     HttpPool::Handlers handlers;
     handlers.onHead = [this](const HttpHead &head, std::int64_t length) {
         m_relay.handleHead(head, length);
+        recordStatedLimit();
     };
     handlers.onData = [this](std::string_view data) {
         handleData(data);
@@ -354,6 +372,60 @@
     });
 }
 
+void ProxyCall::reserveAtEndpoint(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, const EndpointLimit &limit)
+{
+    const std::string start = startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs});
+    // The daemon beside an engine can be reached as long as the engine can, and does not change with the list.
+    const std::set<std::string> &daemons = m_services.engineLinks.daemonAddresses();
+    const std::string ownDaemon = m_services.engineLinks.daemonAddress(endpoint);
+    const std::string holder = m_isEngineService && daemons.count(ownDaemon) > 0 ? ownDaemon : QuotaClient::selectHolder(start, daemons);
+    const std::string account = m_account == nullptr ? std::string() : m_account->name;
+    const bool isHolderNew = m_services.endpointLimits.recordHolder(start, holder);
+    m_endpointReservation = m_services.quotaClient.reserveRequest(start, limit, account, holder, isHolderNew,
+                                                                  [this, choice, start](QuotaClient::Outcome outcome, Duration retryAfter) {
+                                                                      m_endpointReservation = 0;
+                                                                      handleEndpointReservation(choice, start, outcome, retryAfter);
+                                                                  });
+}
+
+void ProxyCall::handleEndpointReservation(const EndpointPlacement::Choice &choice, const std::string &start, QuotaClient::Outcome outcome,
+                                          Duration retryAfter)
+{
+    const TimePoint now = Loop::now();
+    const bool isGranted = outcome == QuotaClient::Outcome::Granted
+        || (outcome == QuotaClient::Outcome::NoResponse
+            && m_services.endpointLimits.tryConsumePart(start, m_services.quotaGate.daemonCount(), now));
+    if (isGranted) {
+        m_reservedStart = start;
+        m_reservedAt = now;
+        sendTo(choice);
+        return;
+    }
+    const Duration wait = outcome == QuotaClient::Outcome::Refused ? retryAfter : avoidWithoutHolder;
+    m_limitWait = m_limitWait.has_value() ? std::min(*m_limitWait, wait) : wait;
+    m_services.log.write("request", "endpoint at its limit",
+                         {{"request", m_request.id}, {"endpoint", choice.id}, {"waitMs", millisecondsText(wait)}});
+    placement().avoid(choice.id, now, wait);
+    send();
+}
+
+void ProxyCall::recordStatedLimit()
+{
+    const platform::EndpointResponse &response = m_relay.response();
+    const bool isOtherEndpoint = response.isMisdirected || (!response.instance.empty() && response.instance != m_endpointStart.id);
+    const bool isOfEndpoint = response.isSigned || response.isNotRun;
+    if (!isOfEndpoint || isOtherEndpoint || (response.isLimitMalformed && !response.requestLimit.has_value())) {
+        return;
+    }
+    const std::string start = startName(m_endpointStart);
+    const bool wasLimited = m_services.endpointLimits.find(start) != nullptr;
+    m_services.endpointLimits.recordStatement(start, response.requestLimit, Loop::now());
+    if (wasLimited != response.requestLimit.has_value()) {
+        m_services.log.write("limits", wasLimited ? "endpoint lifted its limit" : "endpoint stated a limit",
+                             {{"endpoint", start}, {"perSecond", std::to_string(response.requestLimit.value_or(0))}});
+    }
+}
+
 void ProxyCall::logBlocked(const CrashAttribution::Verdict &verdict)
 {
     std::string blocked;
@@ -529,6 +601,7 @@
         m_endpointSearch->cancel();
     }
     m_services.crashGuard.cancelClaim(m_trialClaim);
+    m_services.quotaClient.cancel(m_endpointReservation);
 }
 
 void ProxyCall::handleTimeout()
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -47,6 +47,13 @@
     /** Whether the request is the trial of a blocked suspect. It is sent to one endpoint only. */
     bool m_isTrial = false;
     CrashGuard::ClaimId m_trialClaim = 0;
+    /** The pending reservation at the holder of an endpoint's limit. */
+    QuotaClient::ReservationId m_endpointReservation = 0;
+    /** The endpoint start for which the next attempt is reserved, and when the reservation was granted. */
+    std::string m_reservedStart;
+    TimePoint m_reservedAt{};
+    /** The shortest wait that holders of endpoints' limits have named. */
+    std::optional<Duration> m_limitWait;
 
     HttpPool::CallId m_endpointCall = 0;
     std::string m_endpoint;
@@ -74,6 +81,11 @@
     bool failIfBlocked();
     void failBlocked(const CrashAttribution::Verdict &verdict);
     void claimTrial(const EndpointPlacement::Choice &choice, const CrashAttribution::Verdict &verdict);
+    /** Reserves the request at the holder of the endpoint's own limit, and sends it if granted. */
+    void reserveAtEndpoint(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint, const EndpointLimit &limit);
+    void handleEndpointReservation(const EndpointPlacement::Choice &choice, const std::string &start, QuotaClient::Outcome outcome,
+                                   Duration retryAfter);
+    void recordStatedLimit();
     void logBlocked(const CrashAttribution::Verdict &verdict);
     void recordConnectionLost(const std::string &endpoint);
     /** @param transfers receives the KV cache transfers that the headers ask for */
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -80,9 +80,25 @@
     , m_engineLinks(core, links, m_operatorFeed, m_endpointFeed, m_enginePlacement, m_quotaGate, m_log, settings.peerPort)
     , m_engineProbes(core, links)
     , m_crashGuard(core.loop(), m_store, m_log, core.settings().daemon)
-    , m_services{core.loop(),      m_listener,        m_pool,        m_operatorFeed, m_endpointFeed, m_enginePlacement,
-                 m_plainPlacement, m_transferPlanner, m_retryBudget, m_keyFreshness, m_quotaGate,    m_quotaClient,
-                 m_engineLinks,    m_engineProbes,    m_crashGuard,  m_log,          core.metrics(), settings.weightsDeadline}
+    , m_services{core.loop(),
+                 m_listener,
+                 m_pool,
+                 m_operatorFeed,
+                 m_endpointFeed,
+                 m_enginePlacement,
+                 m_plainPlacement,
+                 m_transferPlanner,
+                 m_retryBudget,
+                 m_keyFreshness,
+                 m_quotaGate,
+                 m_quotaClient,
+                 m_engineLinks,
+                 m_engineProbes,
+                 m_crashGuard,
+                 m_endpointLimits,
+                 m_log,
+                 core.metrics(),
+                 settings.weightsDeadline}
     , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncomingRequest request) {
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -9,6 +9,7 @@
 #include "main/proxy/enginelinks.h"
 #include "main/proxy/engineprobes.h"
 #include "main/proxy/quotaclient.h"
+#include "servers/endpointlimits.h"
 #include "servers/endpointplacement.h"
 #include "servers/keyfreshness.h"
 #include "servers/quotagate.h"
@@ -40,6 +41,7 @@
     EngineLinks &engineLinks;
     EngineProbes &engineProbes;
     CrashGuard &crashGuard;
+    EndpointLimits &endpointLimits;
     DecisionLog &log;
     Metrics &metrics;
     /** How long engines with older weights may still be used after new weights were set. */
--- a/main/proxy/quotaclient.cpp
+++ b/main/proxy/quotaclient.cpp
@@ -17,20 +17,6 @@
 
 constexpr std::uint64_t holderSeed = 0x40de;
 
-std::string selectHolder(const std::string &account, const std::set<std::string> &addresses)
-{
-    std::string holder;
-    std::uint64_t best = 0;
-    for (const std::string &address : addresses) {
-        const std::uint64_t weight = hashBytes(address, hashBytes(account, holderSeed));
-        if (holder.empty() || weight > best) {
-            holder = address;
-            best = weight;
-        }
-    }
-    return holder;
-}
-
 }
 
 QuotaClient::QuotaClient(DaemonCore &core, PeerLinks &links)
@@ -46,20 +32,53 @@
     });
 }
 
+std::string QuotaClient::selectHolder(const std::string &name, const std::set<std::string> &candidates)
+{
+    std::string holder;
+    std::uint64_t best = 0;
+    for (const std::string &address : candidates) {
+        const std::uint64_t weight = hashBytes(address, hashBytes(name, holderSeed));
+        if (holder.empty() || weight > best) {
+            holder = address;
+            best = weight;
+        }
+    }
+    return holder;
+}
+
 QuotaClient::ReservationId QuotaClient::reserve(const std::string &requestId, const std::string &account, double cost,
                                                 const std::set<std::string> &candidates, AnswerHandler handler)
 {
-    const ReservationId id = ++m_lastId;
-    Pending &pending = m_pending[id];
-    pending.handler = std::move(handler);
-    const std::string holder = selectHolder(account, candidates);
     wire::Reserve message;
-    message.__set_reservationId(id);
+    message.__set_reservationId(m_lastId + 1);
     message.__set_account(account);
     message.__set_request(requestId);
     message.__set_tokens(static_cast<std::int64_t>(std::ceil(cost)));
     wire::Body body;
     body.__set_reserve(message);
+    return send(selectHolder(account, candidates), body, std::move(handler));
+}
+
+QuotaClient::ReservationId QuotaClient::reserveRequest(const std::string &endpoint, const EndpointLimit &limit, const std::string &account,
+                                                       const std::string &holder, bool isHolderNew, AnswerHandler handler)
+{
+    wire::EndpointReserve message;
+    message.__set_reservationId(m_lastId + 1);
+    message.__set_endpoint(endpoint);
+    message.__set_requestsPerSecond(limit.requestsPerSecond);
+    message.__set_statementAgeMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(Loop::now() - limit.statedAt).count());
+    message.__set_account(account);
+    message.__set_isHolderNew(isHolderNew);
+    wire::Body body;
+    body.__set_endpointReserve(message);
+    return send(holder, body, std::move(handler));
+}
+
+QuotaClient::ReservationId QuotaClient::send(const std::string &holder, const wire::Body &body, AnswerHandler handler)
+{
+    const ReservationId id = ++m_lastId;
+    Pending &pending = m_pending[id];
+    pending.handler = std::move(handler);
     const bool isSent = !holder.empty() && m_links.sendTo(holder, body);
     pending.timer = m_core.timers().subscribeOnce(isSent ? answerTimeout : Duration::zero(), [this, id](TimePoint) {
         finish(id, Outcome::NoResponse, Duration::zero());
--- a/main/proxy/quotaclient.h
+++ b/main/proxy/quotaclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "main/peerlinks.h"
+#include "servers/endpointlimits.h"
 #include "servers/quotagate.h"
 
 #include <cstdint>
@@ -12,7 +13,7 @@
 namespace citronspar
 {
 
-/** Reserves quota of client accounts at the endpoint daemons that hold them. */
+/** Reserves quota of client accounts, and requests to endpoints that limit them, at the endpoint daemons that hold the limits. */
 class QuotaClient
 {
 public:
@@ -38,6 +39,7 @@
     std::map<ReservationId, Pending> m_pending;
     ReservationId m_lastId = 0;
 
+    ReservationId send(const std::string &holder, const wire::Body &body, AnswerHandler handler);
     void finish(ReservationId id, Outcome outcome, Duration retryAfter);
 
 public:
@@ -51,6 +53,18 @@
     ReservationId reserve(const std::string &requestId, const std::string &account, double cost, const std::set<std::string> &candidates,
                           AnswerHandler handler);
 
+    /**
+     * Reserves one request to an endpoint that limits its requests. The handler is always called asynchronously.
+     * @param endpoint names one start of the endpoint
+     * @param holder address of the endpoint daemon that holds the limit; empty if there is none
+     * @param isHolderNew whether the previous request to the endpoint was reserved at another holder
+     */
+    ReservationId reserveRequest(const std::string &endpoint, const EndpointLimit &limit, const std::string &account,
+                                 const std::string &holder, bool isHolderNew, AnswerHandler handler);
+
+    /** The endpoint daemon that holds the limit of a name, which rendezvous hashing selects; empty without candidates. */
+    static std::string selectHolder(const std::string &name, const std::set<std::string> &candidates);
+
     /** Cancels a reservation; its handler is not called. */
     void cancel(ReservationId id);
 };
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -109,6 +109,8 @@
         handleEntryHello(origin);
     } else if (body.__isset.reserve) {
         handleReserve(origin, body.reserve);
+    } else if (body.__isset.endpointReserve) {
+        handleEndpointReserve(origin, body.endpointReserve);
     } else if (body.__isset.probe) {
         handleProbe(origin, body.probe);
     } else if (body.__isset.prefixUse) {
@@ -163,6 +165,29 @@
     m_links.send(origin.link, body);
 }
 
+void SidecarRole::handleEndpointReserve(const MessageOrigin &origin, const wire::EndpointReserve &reserve)
+{
+    const TimePoint now = Loop::now();
+    const EndpointLimit limit{reserve.requestsPerSecond, now - std::chrono::milliseconds(reserve.statementAgeMilliseconds)};
+    const EndpointLimitHolder::Answer decision
+        = m_endpointLimitHolder.reserve(reserve.endpoint, limit, reserve.account, reserve.isHolderNew, now);
+    wire::ReserveAnswer answer;
+    answer.__set_reservationId(reserve.reservationId);
+    answer.__set_isGranted(decision.isGranted);
+    answer.__set_retryAfterMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter).count() + 1);
+    if (!decision.isGranted) {
+        m_log.write("limits", "request refused",
+                    {{"endpoint", reserve.endpoint},
+                     {"account", reserve.account},
+                     {"entry", origin.sender},
+                     {"perSecond", std::to_string(limit.requestsPerSecond)},
+                     {"waitMs", millisecondsText(decision.retryAfter)}});
+    }
+    wire::Body body;
+    body.__set_reserveAnswer(answer);
+    m_links.send(origin.link, body);
+}
+
 void SidecarRole::handleProbe(const MessageOrigin &origin, const wire::Probe &probe)
 {
     const TimePoint now = Loop::now();
--- a/main/sidecar/sidecarrole.h
+++ b/main/sidecar/sidecarrole.h
@@ -8,6 +8,7 @@
 #include "main/peerlinks.h"
 #include "main/role.h"
 #include "platform/engineclient.h"
+#include "servers/endpointlimitholder.h"
 #include "servers/prefixdirectory.h"
 #include "servers/prompttracker.h"
 #include "servers/quotaholder.h"
@@ -39,6 +40,7 @@
     platform::EngineClient m_engineClient;
     WeightsRollout m_rollout;
     QuotaHolder m_quotaHolder;
+    EndpointLimitHolder m_endpointLimitHolder;
     PromptTracker m_promptTracker;
     PrefixDirectory m_prefixDirectory;
     /** The entry daemons, with the time of the last hello from each. */
@@ -59,6 +61,7 @@
     void handleMessage(const MessageOrigin &origin, const wire::Body &body);
     void handleEntryHello(const MessageOrigin &origin);
     void handleReserve(const MessageOrigin &origin, const wire::Reserve &reserve);
+    void handleEndpointReserve(const MessageOrigin &origin, const wire::EndpointReserve &reserve);
     void handleProbe(const MessageOrigin &origin, const wire::Probe &probe);
     void handlePrefixUse(const wire::PrefixUse &use);
     void handlePromptMessage(const MessageOrigin &origin, const wire::Body &body);
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -3942,6 +3942,198 @@
 }
 
 
+EndpointReserve::~EndpointReserve() noexcept {
+}
+
+
+void EndpointReserve::__set_reservationId(const int64_t val) {
+  this->reservationId = val;
+}
+
+void EndpointReserve::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointReserve::__set_requestsPerSecond(const double val) {
+  this->requestsPerSecond = val;
+}
+
+void EndpointReserve::__set_statementAgeMilliseconds(const int64_t val) {
+  this->statementAgeMilliseconds = val;
+}
+
+void EndpointReserve::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void EndpointReserve::__set_isHolderNew(const bool val) {
+  this->isHolderNew = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointReserve& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointReserve::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reservationId);
+          this->__isset.reservationId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requestsPerSecond);
+          this->__isset.requestsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->statementAgeMilliseconds);
+          this->__isset.statementAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isHolderNew);
+          this->__isset.isHolderNew = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointReserve::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointReserve");
+
+  xfer += oprot->writeFieldBegin("reservationId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->reservationId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->requestsPerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statementAgeMilliseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->statementAgeMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isHolderNew", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->isHolderNew);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointReserve &a, EndpointReserve &b) {
+  using ::std::swap;
+  swap(a.reservationId, b.reservationId);
+  swap(a.endpoint, b.endpoint);
+  swap(a.requestsPerSecond, b.requestsPerSecond);
+  swap(a.statementAgeMilliseconds, b.statementAgeMilliseconds);
+  swap(a.account, b.account);
+  swap(a.isHolderNew, b.isHolderNew);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointReserve::EndpointReserve(const EndpointReserve& other76) {
+  reservationId = other76.reservationId;
+  endpoint = other76.endpoint;
+  requestsPerSecond = other76.requestsPerSecond;
+  statementAgeMilliseconds = other76.statementAgeMilliseconds;
+  account = other76.account;
+  isHolderNew = other76.isHolderNew;
+  __isset = other76.__isset;
+}
+EndpointReserve& EndpointReserve::operator=(const EndpointReserve& other77) {
+  reservationId = other77.reservationId;
+  endpoint = other77.endpoint;
+  requestsPerSecond = other77.requestsPerSecond;
+  statementAgeMilliseconds = other77.statementAgeMilliseconds;
+  account = other77.account;
+  isHolderNew = other77.isHolderNew;
+  __isset = other77.__isset;
+  return *this;
+}
+void EndpointReserve::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointReserve(";
+  out << "reservationId=" << to_string(reservationId);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "requestsPerSecond=" << to_string(requestsPerSecond);
+  out << ", " << "statementAgeMilliseconds=" << to_string(statementAgeMilliseconds);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "isHolderNew=" << to_string(isHolderNew);
+  out << ")";
+}
+
+
 Body::~Body() noexcept {
 }
 
@@ -4065,6 +4257,11 @@
   this->prefixUse = val;
 __isset.prefixUse = true;
 }
+
+void Body::__set_endpointReserve(const EndpointReserve& val) {
+  this->endpointReserve = val;
+__isset.endpointReserve = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -4285,6 +4482,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpointReserve.read(iprot);
+          this->__isset.endpointReserve = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4422,6 +4627,11 @@
     xfer += this->prefixUse.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.endpointReserve) {
+    xfer += oprot->writeFieldBegin("endpointReserve", ::apache::thrift::protocol::T_STRUCT, 25);
+    xfer += this->endpointReserve.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4453,62 +4663,65 @@
   swap(a.promptSent, b.promptSent);
   swap(a.promptDone, b.promptDone);
   swap(a.prefixUse, b.prefixUse);
+  swap(a.endpointReserve, b.endpointReserve);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other76) {
-  probe = other76.probe;
-  probeAnswer = other76.probeAnswer;
-  dispatch = other76.dispatch;
-  dispatchRefused = other76.dispatchRefused;
-  streamDelta = other76.streamDelta;
-  streamEnd = other76.streamEnd;
-  cancel = other76.cancel;
-  credit = other76.credit;
-  freshnessQuestion = other76.freshnessQuestion;
-  freshnessAnswer = other76.freshnessAnswer;
-  configFetch = other76.configFetch;
-  configPush = other76.configPush;
-  reserve = other76.reserve;
-  reserveAnswer = other76.reserveAnswer;
-  giveBack = other76.giveBack;
-  suspectReport = other76.suspectReport;
-  timelineQuestion = other76.timelineQuestion;
-  timelineAnswer = other76.timelineAnswer;
-  engineState = other76.engineState;
-  entryHello = other76.entryHello;
-  crashSuspect = other76.crashSuspect;
-  promptSent = other76.promptSent;
-  promptDone = other76.promptDone;
-  prefixUse = other76.prefixUse;
-  __isset = other76.__isset;
+Body::Body(const Body& other78) {
+  probe = other78.probe;
+  probeAnswer = other78.probeAnswer;
+  dispatch = other78.dispatch;
+  dispatchRefused = other78.dispatchRefused;
+  streamDelta = other78.streamDelta;
+  streamEnd = other78.streamEnd;
+  cancel = other78.cancel;
+  credit = other78.credit;
+  freshnessQuestion = other78.freshnessQuestion;
+  freshnessAnswer = other78.freshnessAnswer;
+  configFetch = other78.configFetch;
+  configPush = other78.configPush;
+  reserve = other78.reserve;
+  reserveAnswer = other78.reserveAnswer;
+  giveBack = other78.giveBack;
+  suspectReport = other78.suspectReport;
+  timelineQuestion = other78.timelineQuestion;
+  timelineAnswer = other78.timelineAnswer;
+  engineState = other78.engineState;
+  entryHello = other78.entryHello;
+  crashSuspect = other78.crashSuspect;
+  promptSent = other78.promptSent;
+  promptDone = other78.promptDone;
+  prefixUse = other78.prefixUse;
+  endpointReserve = other78.endpointReserve;
+  __isset = other78.__isset;
 }
-Body& Body::operator=(const Body& other77) {
-  probe = other77.probe;
-  probeAnswer = other77.probeAnswer;
-  dispatch = other77.dispatch;
-  dispatchRefused = other77.dispatchRefused;
-  streamDelta = other77.streamDelta;
-  streamEnd = other77.streamEnd;
-  cancel = other77.cancel;
-  credit = other77.credit;
-  freshnessQuestion = other77.freshnessQuestion;
-  freshnessAnswer = other77.freshnessAnswer;
-  configFetch = other77.configFetch;
-  configPush = other77.configPush;
-  reserve = other77.reserve;
-  reserveAnswer = other77.reserveAnswer;
-  giveBack = other77.giveBack;
-  suspectReport = other77.suspectReport;
-  timelineQuestion = other77.timelineQuestion;
-  timelineAnswer = other77.timelineAnswer;
-  engineState = other77.engineState;
-  entryHello = other77.entryHello;
-  crashSuspect = other77.crashSuspect;
-  promptSent = other77.promptSent;
-  promptDone = other77.promptDone;
-  prefixUse = other77.prefixUse;
-  __isset = other77.__isset;
+Body& Body::operator=(const Body& other79) {
+  probe = other79.probe;
+  probeAnswer = other79.probeAnswer;
+  dispatch = other79.dispatch;
+  dispatchRefused = other79.dispatchRefused;
+  streamDelta = other79.streamDelta;
+  streamEnd = other79.streamEnd;
+  cancel = other79.cancel;
+  credit = other79.credit;
+  freshnessQuestion = other79.freshnessQuestion;
+  freshnessAnswer = other79.freshnessAnswer;
+  configFetch = other79.configFetch;
+  configPush = other79.configPush;
+  reserve = other79.reserve;
+  reserveAnswer = other79.reserveAnswer;
+  giveBack = other79.giveBack;
+  suspectReport = other79.suspectReport;
+  timelineQuestion = other79.timelineQuestion;
+  timelineAnswer = other79.timelineAnswer;
+  engineState = other79.engineState;
+  entryHello = other79.entryHello;
+  crashSuspect = other79.crashSuspect;
+  promptSent = other79.promptSent;
+  promptDone = other79.promptDone;
+  prefixUse = other79.prefixUse;
+  endpointReserve = other79.endpointReserve;
+  __isset = other79.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4538,6 +4751,7 @@
   out << ", " << "promptSent="; (__isset.promptSent ? (out << to_string(promptSent)) : (out << "<null>"));
   out << ", " << "promptDone="; (__isset.promptDone ? (out << to_string(promptDone)) : (out << "<null>"));
   out << ", " << "prefixUse="; (__isset.prefixUse ? (out << to_string(prefixUse)) : (out << "<null>"));
+  out << ", " << "endpointReserve="; (__isset.endpointReserve ? (out << to_string(endpointReserve)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4685,21 +4899,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other78) {
-  sender = other78.sender;
-  incarnation = other78.incarnation;
-  wallMicroseconds = other78.wallMicroseconds;
-  wallCounter = other78.wallCounter;
-  body = other78.body;
-  __isset = other78.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other79) {
-  sender = other79.sender;
-  incarnation = other79.incarnation;
-  wallMicroseconds = other79.wallMicroseconds;
-  wallCounter = other79.wallCounter;
-  body = other79.body;
-  __isset = other79.__isset;
+Envelope::Envelope(const Envelope& other80) {
+  sender = other80.sender;
+  incarnation = other80.incarnation;
+  wallMicroseconds = other80.wallMicroseconds;
+  wallCounter = other80.wallCounter;
+  body = other80.body;
+  __isset = other80.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other81) {
+  sender = other81.sender;
+  incarnation = other81.incarnation;
+  wallMicroseconds = other81.wallMicroseconds;
+  wallCounter = other81.wallCounter;
+  body = other81.body;
+  __isset = other81.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -73,6 +73,8 @@
 
 class PrefixUse;
 
+class EndpointReserve;
+
 class Body;
 
 class Envelope;
@@ -1775,8 +1777,101 @@
 
 std::ostream& operator<<(std::ostream& out, const PrefixUse& obj);
 
+typedef struct _EndpointReserve__isset {
+  _EndpointReserve__isset() : reservationId(false), endpoint(false), requestsPerSecond(false), statementAgeMilliseconds(false), account(false), isHolderNew(false) {}
+  bool reservationId :1;
+  bool endpoint :1;
+  bool requestsPerSecond :1;
+  bool statementAgeMilliseconds :1;
+  bool account :1;
+  bool isHolderNew :1;
+} _EndpointReserve__isset;
+
+/**
+ * Reserves one request to an endpoint that limits its requests, at the endpoint daemon that holds the limit. Answered with ReserveAnswer.
+ */
+class EndpointReserve : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointReserve(const EndpointReserve&);
+  EndpointReserve& operator=(const EndpointReserve&);
+  EndpointReserve() noexcept
+                  : reservationId(0),
+                    endpoint(),
+                    requestsPerSecond(0),
+                    statementAgeMilliseconds(0),
+                    account(),
+                    isHolderNew(0) {
+  }
+
+  virtual ~EndpointReserve() noexcept;
+  int64_t reservationId;
+  /**
+   * Id and start time of the endpoint.
+   */
+  std::string endpoint;
+  /**
+   * The limit that the endpoint stated, in requests per second.
+   */
+  double requestsPerSecond;
+  /**
+   * Time since the endpoint stated it.
+   */
+  int64_t statementAgeMilliseconds;
+  std::string account;
+  /**
+   * Whether the sender made its previous reservation for this endpoint at another holder.
+   */
+  bool isHolderNew;
+
+  _EndpointReserve__isset __isset;
+
+  void __set_reservationId(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_requestsPerSecond(const double val);
+
+  void __set_statementAgeMilliseconds(const int64_t val);
+
+  void __set_account(const std::string& val);
+
+  void __set_isHolderNew(const bool val);
+
+  bool operator == (const EndpointReserve & rhs) const
+  {
+    if (!(reservationId == rhs.reservationId))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(requestsPerSecond == rhs.requestsPerSecond))
+      return false;
+    if (!(statementAgeMilliseconds == rhs.statementAgeMilliseconds))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(isHolderNew == rhs.isHolderNew))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointReserve &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointReserve & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointReserve &a, EndpointReserve &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointReserve& obj);
+
 typedef struct _Body__isset {
-  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false), promptSent(false), promptDone(false), prefixUse(false) {}
+  _Body__isset() : probe(false), probeAnswer(false), dispatch(false), dispatchRefused(false), streamDelta(false), streamEnd(false), cancel(false), credit(false), freshnessQuestion(false), freshnessAnswer(false), configFetch(false), configPush(false), reserve(false), reserveAnswer(false), giveBack(false), suspectReport(false), timelineQuestion(false), timelineAnswer(false), engineState(false), entryHello(false), crashSuspect(false), promptSent(false), promptDone(false), prefixUse(false), endpointReserve(false) {}
   bool probe :1;
   bool probeAnswer :1;
   bool dispatch :1;
@@ -1801,6 +1896,7 @@
   bool promptSent :1;
   bool promptDone :1;
   bool prefixUse :1;
+  bool endpointReserve :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -1836,6 +1932,7 @@
   PromptSent promptSent;
   PromptDone promptDone;
   PrefixUse prefixUse;
+  EndpointReserve endpointReserve;
 
   _Body__isset __isset;
 
@@ -1887,6 +1984,8 @@
 
   void __set_prefixUse(const PrefixUse& val);
 
+  void __set_endpointReserve(const EndpointReserve& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.probe != rhs.__isset.probe)
@@ -1985,6 +2084,10 @@
       return false;
     else if (__isset.prefixUse && !(prefixUse == rhs.prefixUse))
       return false;
+    if (__isset.endpointReserve != rhs.__isset.endpointReserve)
+      return false;
+    else if (__isset.endpointReserve && !(endpointReserve == rhs.endpointReserve))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -205,6 +205,20 @@
   3: bool isSaved
 }
 
+/** Reserves one request to an endpoint that limits its requests, at the endpoint daemon that holds the limit. Answered with ReserveAnswer. */
+struct EndpointReserve {
+  1: i64 reservationId
+  /** Id and start time of the endpoint. */
+  2: string endpoint
+  /** The limit that the endpoint stated, in requests per second. */
+  3: double requestsPerSecond
+  /** Time since the endpoint stated it. */
+  4: i64 statementAgeMilliseconds
+  5: string account
+  /** Whether the sender made its previous reservation for this endpoint at another holder. */
+  6: bool isHolderNew
+}
+
 union Body {
   1: Probe probe
   2: ProbeAnswer probeAnswer
@@ -230,6 +244,7 @@
   22: PromptSent promptSent
   23: PromptDone promptDone
   24: PrefixUse prefixUse
+  25: EndpointReserve endpointReserve
 }
 
 /** Contents of one frame between two daemons. */
--- a/servers/crashtracker.cpp
+++ b/servers/crashtracker.cpp
@@ -34,7 +34,7 @@
 
 }
 
-std::string crashName(const EndpointStart &start)
+std::string startName(const EndpointStart &start)
 {
     return start.id + "@" + std::to_string(start.startedMs);
 }
@@ -77,7 +77,7 @@
     for (auto it = m_lost.begin(); it != m_lost.end();) {
         it = now - it->second.at > lostLifetime ? m_lost.erase(it) : std::next(it);
     }
-    const std::pair<std::map<std::string, LostAttempts>::iterator, bool> inserted = m_lost.emplace(crashName(start), LostAttempts());
+    const std::pair<std::map<std::string, LostAttempts>::iterator, bool> inserted = m_lost.emplace(startName(start), LostAttempts());
     LostAttempts &lost = inserted.first->second;
     if (inserted.second) {
         lost.start = start;
@@ -116,7 +116,7 @@
 
 void CrashTracker::recordEnded(const EndpointStart &start, TimePoint now)
 {
-    const auto found = m_lost.find(crashName(start));
+    const auto found = m_lost.find(startName(start));
     if (found != m_lost.end() && !found->second.hasEnded) {
         handleEnded(found->second, now);
     }
--- a/servers/crashtracker.h
+++ b/servers/crashtracker.h
@@ -21,8 +21,8 @@
     std::int64_t startedMs = 0;
 };
 
-/** The name of the crash of this start in CrashReport::crash. */
-std::string crashName(const EndpointStart &start);
+/** The name of this start in messages and rows, for example in CrashReport::crash. */
+std::string startName(const EndpointStart &start);
 
 /**
  * What one entry daemon knows about crashes. An attempt whose connection is lost
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -560,7 +560,7 @@
     CHECK(Loop::now() - sentAt < std::chrono::seconds(60));
 }
 
-TEST_CASE("[ProxyRole] An endpoint that states a limit on its requests gets no more, and the others take the rest", "[!mayfail]")
+TEST_CASE("[ProxyRole] An endpoint that states a limit on its requests gets no more, and the others take the rest")
 {
     ProxyFixture proxy;
     proxy.endpoints[0]->statedLimit = "1";
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -94,3 +94,28 @@
     misdirected.status = 421;
     CHECK(decodeEndpointResponse(misdirected).isNotRun);
 }
+
+TEST_CASE("[RequestCodec] The stated request limit is read from a response with any status; what is no limit states none")
+{
+    const auto decode = [](const std::vector<std::string> &values, int status) {
+        HttpHead head;
+        head.status = status;
+        for (const std::string &value : values) {
+            head.fields.emplace_back("server-limit", value);
+        }
+        return decodeEndpointResponse(head);
+    };
+    CHECK(decode({"1.5"}, 200).requestLimit == 1.5);
+    CHECK(decode({" .25 "}, 503).requestLimit == 0.25);
+    CHECK(decode({"0"}, 500).requestLimit == 0.0);
+    CHECK(decode({"1e300"}, 200).requestLimit == 1e300);
+    CHECK_FALSE(decode({}, 200).requestLimit.has_value());
+    CHECK_FALSE(decode({}, 200).isLimitMalformed);
+    for (const char *malformed : {"", "many", "-1", "nan", "inf", "1 2", "1,5"}) {
+        INFO(malformed);
+        CHECK_FALSE(decode({malformed}, 200).requestLimit.has_value());
+        CHECK(decode({malformed}, 200).isLimitMalformed);
+    }
+    // Of two values the lower one protects the endpoint.
+    CHECK(decode({"3", "2"}, 200).requestLimit == 2.0);
+}
