--- a/tests/servers/endpointlimit_test.cpp
+++ b/tests/servers/endpointlimit_test.cpp
@@ -158,10 +158,10 @@
         for (int step = 0; step < 1500; ++step) {
             fleet.scheduler.runFor(std::chrono::milliseconds(20));
             const double wanted = 3 * limit * 0.02 + 0.05;
-            for (double left = wanted; left > 0; left -= 1) {
-                if (left >= 1 || fleet.scheduler.randomBool(left)) {
-                    fleet.request(static_cast<std::size_t>(fleet.scheduler.randomInteger(0, lastDaemon)));
-                }
+            const int whole = static_cast<int>(wanted);
+            const int requests = whole + (fleet.scheduler.randomBool(wanted - whole) ? 1 : 0);
+            for (int i = 0; i < requests; ++i) {
+                fleet.request(static_cast<std::size_t>(fleet.scheduler.randomInteger(0, lastDaemon)));
             }
             if (fleet.scheduler.randomBool(0.004)) {
                 // Requests at all daemons in the same millisecond.
