Take a stream that ends inside an event for broken off

What callers got: a response that ends with its connection, or with its last chunk, in the middle of an event was passed on as complete, with the partial event. Cause: the end of the response was the only sign of completeness. Such an attempt now counts as broken, as after a reset: it is resumed at another endpoint, or the caller's response is aborted, and it is evidence if the endpoint has ended.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -502,7 +502,8 @@
         retryOrFail(ErrorKind::NoEndpoint);
         return;
     }
-    if (result == HttpCallResult::Broken) {
+    const bool isBroken = result == HttpCallResult::Broken || (result == HttpCallResult::Complete && m_relay.isInsideEvent());
+    if (isBroken) {
         recordConnectionLost(endpoint);
         handleBroken();
         return;
--- a/main/proxy/responserelay.cpp
+++ b/main/proxy/responserelay.cpp
@@ -78,6 +78,11 @@
     return true;
 }
 
+bool ResponseRelay::isInsideEvent() const
+{
+    return m_events.partial().find_first_not_of("\r\n") != std::string::npos;
+}
+
 void ResponseRelay::discardIncomplete()
 {
     m_events.discardPartial();
--- a/main/proxy/responserelay.h
+++ b/main/proxy/responserelay.h
@@ -47,6 +47,9 @@
     /** Returns whether the data belongs to a successful stream, which means that the endpoint has prefilled the prompt. */
     bool handleData(const TrafficRoute &route, std::string_view data);
 
+    /** Whether the attempt has sent part of an event and not its end. A stream that ends so was broken off. */
+    bool isInsideEvent() const;
+
     /** Discards the incomplete event or buffered body of an attempt that broke off. */
     void discardIncomplete();
 
--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -199,6 +199,8 @@
         Unsigned,
         /** Aborts the connection in the middle of the third event. */
         AbortInEvent,
+        /** Ends the stream in the middle of the third event as if it were complete. */
+        EndInEvent,
         /** Aborts the connection before any response. */
         AbortBeforeResponse,
         /** Responds with status 500 and the seal header of the endpoint. */
@@ -267,6 +269,11 @@
             m_listener.write(id, eventText(1) + eventText(2) + "id: 3\ndata: pie");
             m_listener.abort(id);
             return;
+        case Behaviour::EndInEvent:
+            m_listener.begin(id, head, -1);
+            m_listener.write(id, eventText(1) + eventText(2) + "id: 3\ndata: pie");
+            m_listener.finish(id);
+            return;
         case Behaviour::Refuse: {
             HttpHead refusal = makeHead(request, 503);
             refusal.set("Citronspar-Not-Run", "1");
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -586,3 +586,17 @@
     CHECK(refused.head.status == 503);
     CHECK(refused.head.find("Retry-After") != nullptr);
 }
+
+TEST_CASE("[ProxyRole] A stream that ends inside an event is resumed on another endpoint or broken off, and never complete")
+{
+    ProxyFixture proxy;
+    proxy.setBehaviours(Behaviour::EndInEvent, Behaviour::SendStream);
+    for (int i = 0; i < 4; ++i) {
+        const Response response = proxy.sendRequest("/stream/x");
+        CHECK(response.result == HttpCallResult::Complete);
+        CHECK(response.body == FakeEndpoint::completeStream());
+    }
+    proxy.setBehaviours(Behaviour::EndInEvent, Behaviour::EndInEvent);
+    CHECK(proxy.sendRequest("/stream/x").result == HttpCallResult::Broken);
+    CHECK(proxy.sendRequest("/plain-stream/x").result == HttpCallResult::Broken);
+}
