--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -254,49 +254,61 @@
     });
 }
 
-void ProxyCall::sendTo(const EndpointPlacement::Choice &choice)
+bool ProxyCall::failUnlessSendable(const EndpointPlacement::Choice &choice)
 {
+    const Duration waited = Loop::now() - m_incoming.arrived;
     if (!isKeyStillValid()) {
         fail(ErrorKind::NotFresh);
-        return;
+        return true;
     }
-    const ListedEndpoint *endpoint = m_services.endpointFeed.directory().find(choice.id);
-    if (endpoint == nullptr) {
+    if (m_services.endpointFeed.directory().find(choice.id) == nullptr) {
         fail(ErrorKind::NoEndpoint);
-        return;
+        return true;
     }
-    if (m_request.deadline.has_value() && Loop::now() - m_incoming.arrived >= *m_request.deadline) {
+    if (m_request.deadline.has_value() && waited >= *m_request.deadline) {
         fail(ErrorKind::DeadlinePassed);
-        return;
+        return true;
     }
-    const Duration waited = Loop::now() - m_incoming.arrived;
     const Duration predicted = fromSeconds(choice.costMs / millisecondsPerSecond);
     const Admission::Basis basis = choice.knownPrefixes < 0 ? Admission::Basis::Reported : Admission::Basis::Probed;
     if (m_isEngineService && m_attemptTracker->attemptCount() == 0
         && !Admission::admits(predicted, basis, waited, m_route->targetLatency)) {
         fail(ErrorKind::Overloaded, std::max(predicted - m_route->targetLatency / 2, Duration::zero()));
-        return;
+        return true;
     }
+    return !m_isTrial && failIfBlocked();
+}
+
+bool ProxyCall::deferUntilAllowed(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint)
+{
     const CrashAttribution::Verdict verdict = m_services.crashGuard.check(m_suspects);
-    if (verdict.decision == CrashAttribution::Decision::Block && !m_isTrial) {
-        failBlocked(verdict);
-        return;
-    }
     if (verdict.decision == CrashAttribution::Decision::Trial && !m_isTrial) {
         claimTrial(choice, verdict);
-        return;
+        return true;
     }
-    const EndpointStart start{endpoint->id, endpoint->address, endpoint->startedMs};
-    const EndpointLimit *limit = m_services.endpointLimits.find(startName(start));
+    const std::string start = startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs});
+    const EndpointLimit *limit = m_services.endpointLimits.find(start);
     // A process that was paused sends no request on a reservation that others have used since.
-    const bool isReserved = m_reservedStart == startName(start) && Loop::now() - m_reservedAt < reservationLifetime;
+    const bool isReserved = m_reservedStart == start && Loop::now() - m_reservedAt < reservationLifetime;
     if (limit != nullptr && !isReserved) {
-        reserveAtEndpoint(choice, *endpoint, *limit);
-        return;
+        reserveAtEndpoint(choice, endpoint, *limit);
+        return true;
     }
     m_reservedStart.clear();
+    return false;
+}
+
+void ProxyCall::sendTo(const EndpointPlacement::Choice &choice)
+{
+    if (failUnlessSendable(choice)) {
+        return;
+    }
+    const ListedEndpoint *endpoint = m_services.endpointFeed.directory().find(choice.id);
+    if (deferUntilAllowed(choice, *endpoint)) {
+        return;
+    }
     m_endpoint = choice.id;
-    m_endpointStart = start;
+    m_endpointStart = EndpointStart{endpoint->id, endpoint->address, endpoint->startedMs};
     m_triedEndpoints.push_back(choice.id);
     m_isPromptDone = false;
     m_sentWeights = choice.weightsVersion;
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -77,6 +77,10 @@
     /** The time until the caller or the route gives up. */
     Duration remainingTime() const;
     void sendTo(const EndpointPlacement::Choice &choice);
+    /** Fails the request if it can't be sent any more, and returns whether it was failed. */
+    bool failUnlessSendable(const EndpointPlacement::Choice &choice);
+    /** Claims a trial or reserves the request at the endpoint, if needed; then the request is sent later. Returns whether it is. */
+    bool deferUntilAllowed(const EndpointPlacement::Choice &choice, const ListedEndpoint &endpoint);
     /** Fails the request if it may crash engines, and returns whether it was failed. */
     bool failIfBlocked();
     void failBlocked(const CrashAttribution::Verdict &verdict);
