--- a/servers/crashtracker.h
+++ b/servers/crashtracker.h
@@ -77,7 +77,7 @@
     /** Records that the connection of an attempt was lost. Returns whether it has to be found out if the endpoint has ended. */
     bool recordLost(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, TimePoint now);
 
-    /** Records that nothing listens at the endpoint's address any more. */
+    /** Records that the endpoint has ended: connections to its address are refused. */
     void recordEnded(const EndpointStart &start, TimePoint now);
 
     /** Records that an endpoint has started at @p address; earlier ones there have ended. */
@@ -85,7 +85,7 @@
 
     /** Computes the rows that are due. */
     void update(TimePoint now);
-    /** When update() has to be called next; timeNever if nothing is expected. */
+    /** When update() is due; timeNever if no row is pending. */
     TimePoint nextUpdateAt() const;
 
     /** The rows to write, by key. */
--- a/servers/endpointlimitholder.h
+++ b/servers/endpointlimitholder.h
@@ -12,8 +12,8 @@
 /**
  * The token buckets of endpoints that limit their requests. One endpoint daemon
  * holds the limit of an endpoint, and all entry daemons reserve each request
- * there, so that they keep to the limit together. A new bucket grants nothing for
- * a moment, as some entry daemons may still reserve at the previous holder.
+ * there, so that the limit applies to their sum. A new bucket grants nothing for
+ * a short time, as some entry daemons may still reserve at the previous holder.
  */
 class EndpointLimitHolder
 {
--- a/servers/endpointlimits.cpp
+++ b/servers/endpointlimits.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t maxEntries = 4096;
 constexpr Duration entryLifetime = std::chrono::minutes(10);
 
-// Nothing is saved up over a longer pause: when a holder ends, all daemons use their parts at the same time.
+// Tokens do not accumulate over a longer pause: when a holder ends, all daemons start to use their parts at once.
 constexpr Duration maxPartPause = std::chrono::seconds(2);
 
 // The rest is left to daemons that reach the holder.
--- a/tests/main/crashingrequests_test.cpp
+++ b/tests/main/crashingrequests_test.cpp
@@ -231,7 +231,7 @@
     int sentSound = 0;
     for (int i = 0; i < 30; ++i) {
         const int daemon = i % daemonCount;
-        // The first part is in all prompts; the bad part stands first, in the middle and last of the shared parts.
+        // All prompts have the template. The position of the bad part among the shared parts varies.
         const std::vector<std::string> bad = {"bad:100,template:100,account" + std::to_string(i % 2) + ":100",
                                               "template:100,bad:100,account" + std::to_string(i % 2) + ":100",
                                               "template:100,account" + std::to_string(i % 2) + ":100,bad:100"};
