Log how an endpoint marks the end of its response, and what showed that an attempt was broken off

The lines of a request could not tell an answer that ended with its connection from one with a length or chunks, or a reset from an early close. HttpPool passes the framing with the head and the cause with the end of a call; the lines 'connection to endpoint lost' and the outcome have them, with the last event of a stream. No decision has changed.

--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -47,6 +47,23 @@
 
 }
 
+const char *breakCauseName(HttpBreakCause cause)
+{
+    switch (cause) {
+    case HttpBreakCause::None:
+        return "none";
+    case HttpBreakCause::Reset:
+        return "reset";
+    case HttpBreakCause::EndedEarly:
+        return "ended early";
+    case HttpBreakCause::Malformed:
+        return "malformed";
+    case HttpBreakCause::GivenUp:
+        return "given up";
+    }
+    return "";
+}
+
 HttpPool::HttpPool(Loop &loop)
     : m_loop(loop)
 {
@@ -89,10 +106,10 @@
             return;
         }
         Connection &connection = found->second;
-        const bool isComplete = reason == SocketCloseReason::Finished && connection.reader != nullptr && !connection.isDiscarding
-            && connection.reader->finishAtEof();
-        closeConnection(id,
-                        isComplete ? HttpCallResult::Complete : (connection.hasSent ? HttpCallResult::Broken : HttpCallResult::NotSent));
+        const bool isFinished = reason == SocketCloseReason::Finished;
+        const bool isComplete = isFinished && connection.reader != nullptr && !connection.isDiscarding && connection.reader->finishAtEof();
+        closeConnection(id, isComplete ? HttpCallResult::Complete : (connection.hasSent ? HttpCallResult::Broken : HttpCallResult::NotSent),
+                        isFinished ? HttpBreakCause::EndedEarly : HttpBreakCause::Reset);
     };
     Connection &connection = m_connections[id];
     connection.key = call.poolKey;
@@ -138,11 +155,11 @@
     };
     const std::shared_ptr<Response> response = std::make_shared<Response>();
     Handlers handlers;
-    handlers.onHead = [response](const HttpHead &head, std::int64_t) {
+    handlers.onHead = [response](const HttpHead &head, HttpBodyFraming, std::int64_t) {
         response->head = head;
     };
     const std::size_t maxBytes = call.maxFetchedBytes;
-    handlers.onEnd = [this, response, onDone](HttpCallResult result) {
+    handlers.onEnd = [this, response, onDone](HttpCallResult result, HttpBreakCause) {
         m_loop.timers().unsubscribe(response->timer);
         onDone(result, response->head, response->body);
     };
@@ -199,7 +216,7 @@
             current.isDiscarding = head.status < firstFinalStatus || (echoed != nullptr && *echoed != current.request.head.value(echo));
             if (!current.isDiscarding) {
                 const std::shared_ptr<const Handlers> handlers = current.handlers;
-                handlers->onHead(head, current.reader->contentLength());
+                handlers->onHead(head, current.reader->framing(), current.reader->contentLength());
             }
         },
         [this, id](std::string_view data) {
@@ -227,7 +244,7 @@
         first->second.skippedBytes += data.size();
     }
     if (first->second.skippedBytes > maxSkippedBytes) {
-        closeConnection(id, HttpCallResult::Broken);
+        closeConnection(id, HttpCallResult::Broken, HttpBreakCause::Malformed);
         return;
     }
     while (true) {
@@ -244,7 +261,7 @@
             return;
         }
         if (state != HttpReadState::Done) {
-            closeConnection(id, HttpCallResult::Broken);
+            closeConnection(id, HttpCallResult::Broken, HttpBreakCause::Malformed);
             return;
         }
         if (!connection.isDiscarding) {
@@ -252,7 +269,7 @@
             return;
         }
         if (!reader->isKeepAlive() && connection.reader->head().status >= firstFinalStatus) {
-            closeConnection(id, HttpCallResult::Broken);
+            closeConnection(id, HttpCallResult::Broken, HttpBreakCause::EndedEarly);
             return;
         }
         startReader(id);
@@ -280,10 +297,10 @@
     connection.idleSince = Loop::now();
     connection.keepAliveTimeout = keepAliveTimeoutOf(reader->head());
     m_idleConnections[connection.key].push_back(id);
-    handlers->onEnd(HttpCallResult::Complete);
+    handlers->onEnd(HttpCallResult::Complete, HttpBreakCause::None);
 }
 
-void HttpPool::closeConnection(ConnectionId id, HttpCallResult result)
+void HttpPool::closeConnection(ConnectionId id, HttpCallResult result, HttpBreakCause cause)
 {
     const auto found = m_connections.find(id);
     if (found == m_connections.end()) {
@@ -312,7 +329,7 @@
     }
     m_loop.timers().subscribeOnce(Duration::zero(), [socket](TimePoint) {});
     if (call != 0 && handlers != nullptr && handlers->onEnd) {
-        handlers->onEnd(result);
+        handlers->onEnd(result, result == HttpCallResult::Broken ? cause : HttpBreakCause::None);
     }
 }
 
@@ -320,7 +337,7 @@
 {
     const auto found = m_calls.find(id);
     if (found != m_calls.end()) {
-        closeConnection(found->second, HttpCallResult::Broken);
+        closeConnection(found->second, HttpCallResult::Broken, HttpBreakCause::GivenUp);
     }
 }
 
--- a/drivers/httppool.h
+++ b/drivers/httppool.h
@@ -25,6 +25,22 @@
     Broken,
 };
 
+/** What showed that a call was broken off. */
+enum class HttpBreakCause {
+    /** The call was not broken off. */
+    None,
+    Reset,
+    /** The connection was closed before the end of the response. */
+    EndedEarly,
+    /** Bytes that are no HTTP response, or too many that are not part of the response. */
+    Malformed,
+    /** The caller of the pool gave the call up. */
+    GivenUp,
+};
+
+/** Name for log lines. */
+const char *breakCauseName(HttpBreakCause cause);
+
 /** A request to send through an HttpPool. */
 struct HttpCall
 {
@@ -51,9 +67,9 @@
     struct Handlers
     {
         /** Called with the head of the response; @p length is negative if there is no Content-Length. */
-        std::function<void(const HttpHead &head, std::int64_t length)> onHead;
+        std::function<void(const HttpHead &head, HttpBodyFraming framing, std::int64_t length)> onHead;
         std::function<void(std::string_view data)> onData;
-        std::function<void(HttpCallResult result)> onEnd;
+        std::function<void(HttpCallResult result, HttpBreakCause cause)> onEnd;
     };
 
     using BodyHandler = std::function<void(HttpCallResult result, const HttpHead &head, const std::string &body)>;
@@ -94,7 +110,8 @@
     void startReader(ConnectionId id);
     void receive(ConnectionId id, std::string_view data);
     void completeCall(ConnectionId id);
-    void closeConnection(ConnectionId id, HttpCallResult result);
+    /** @param cause what ended the call, if @p result is Broken */
+    void closeConnection(ConnectionId id, HttpCallResult result, HttpBreakCause cause = HttpBreakCause::None);
     void closeExpired(TimePoint now);
     Connection *connectionOf(CallId call);
 
--- a/drivers/httpreader.cpp
+++ b/drivers/httpreader.cpp
@@ -12,6 +12,19 @@
 
 namespace http = boost::beast::http;
 
+const char *framingName(HttpBodyFraming framing)
+{
+    switch (framing) {
+    case HttpBodyFraming::Length:
+        return "length";
+    case HttpBodyFraming::Chunked:
+        return "chunked";
+    case HttpBodyFraming::ConnectionEnd:
+        return "connection end";
+    }
+    return "";
+}
+
 template<bool isRequest>
 HttpReader<isRequest>::HttpReader(HttpReadLimits limits, HeadHandler headHandler, DataHandler dataHandler)
     : m_maxHeaderBytes(limits.maxHeaderBytes)
@@ -138,6 +151,14 @@
     return length.has_value() ? static_cast<std::int64_t>(*length) : -1;
 }
 
+template<bool isRequest> HttpBodyFraming HttpReader<isRequest>::framing() const
+{
+    if (Base::chunked()) {
+        return HttpBodyFraming::Chunked;
+    }
+    return Base::need_eof() ? HttpBodyFraming::ConnectionEnd : HttpBodyFraming::Length;
+}
+
 template class HttpReader<true>;
 template class HttpReader<false>;
 
--- a/drivers/httpreader.h
+++ b/drivers/httpreader.h
@@ -20,6 +20,17 @@
     std::uint64_t maxBodyBytes = 4U * 1024 * 1024;
 };
 
+/** How the end of a message body is marked (RFC 9112, 6.3). */
+enum class HttpBodyFraming {
+    Length,
+    Chunked,
+    /** Neither: the body ends with the connection, so only its content can show whether it is complete. */
+    ConnectionEnd,
+};
+
+/** Name for log lines. */
+const char *framingName(HttpBodyFraming framing);
+
 /** State of parsing one message. */
 enum class HttpReadState {
     NeedsMore,
@@ -76,6 +87,9 @@
 
     /** The value of Content-Length, or -1 if the message has none. */
     std::int64_t contentLength() const;
+
+    /** Valid once the head is complete. */
+    HttpBodyFraming framing() const;
 };
 
 using HttpRequestReader = HttpReader<true>;
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -327,15 +327,15 @@
     call.connectTimeout = endpointConnectTimeout;
     call.maxIdle = m_route->retryPolicy == RetryPolicy::AtMostOnce ? maxIdleAtMostOnce : maxIdleIdempotent;
     HttpPool::Handlers handlers;
-    handlers.onHead = [this](const HttpHead &head, std::int64_t length) {
-        m_relay.handleHead(head, length);
+    handlers.onHead = [this](const HttpHead &head, HttpBodyFraming framing, std::int64_t length) {
+        m_relay.handleHead(head, framing, length);
         recordStatedLimit();
     };
     handlers.onData = [this](std::string_view data) {
         handleData(data);
     };
-    handlers.onEnd = [this](HttpCallResult result) {
-        handleEnd(result);
+    handlers.onEnd = [this](HttpCallResult result, HttpBreakCause cause) {
+        handleEnd(result, cause);
     };
     m_endpointCall = m_services.pool.send(std::move(call), std::move(handlers));
     m_services.log.write("request", "sent",
@@ -503,7 +503,7 @@
     m_services.pool.resume(m_endpointCall);
 }
 
-void ProxyCall::handleEnd(HttpCallResult result)
+void ProxyCall::handleEnd(HttpCallResult result, HttpBreakCause cause)
 {
     const std::string endpoint = m_endpoint;
     releaseEndpoint();
@@ -516,7 +516,7 @@
     }
     const bool isBroken = result == HttpCallResult::Broken || (result == HttpCallResult::Complete && m_relay.isInsideEvent());
     if (isBroken) {
-        recordConnectionLost(endpoint);
+        recordConnectionLost(endpoint, result == HttpCallResult::Broken ? breakCauseName(cause) : "ended inside an event");
         handleBroken();
         return;
     }
@@ -541,19 +541,21 @@
     handleComplete();
 }
 
-void ProxyCall::recordConnectionLost(const std::string &endpoint)
+void ProxyCall::recordConnectionLost(const std::string &endpoint, const char *evidence)
 {
     placement().recordFailure(endpoint, Loop::now());
-    logConnectionLost(endpoint);
+    logConnectionLost(endpoint, evidence);
     m_services.crashGuard.recordLost(m_endpointStart, m_suspects);
 }
 
-void ProxyCall::logConnectionLost(const std::string &endpoint)
+void ProxyCall::logConnectionLost(const std::string &endpoint, const char *evidence)
 {
     m_services.log.write("request", "connection to endpoint lost",
                          {{"request", m_request.id},
                           {"endpoint", endpoint},
                           {"parts", sharedPartsText(m_request)},
+                          {"evidence", evidence},
+                          {"framing", framingName(m_relay.framing())},
                           {"sinceSentMs", millisecondsText(Loop::now() - m_sentAt)},
                           {"lastEvent", m_relay.lastEventId().value_or("")},
                           {"try", std::to_string(m_attemptTracker->attemptCount())}});
@@ -662,7 +664,7 @@
     const std::string endpoint = m_endpoint;
     m_services.pool.cancel(m_endpointCall);
     releaseEndpoint();
-    recordConnectionLost(endpoint);
+    recordConnectionLost(endpoint, "endpoint started again");
     handleBroken();
 }
 
@@ -712,6 +714,8 @@
                           {"account", m_account == nullptr ? "" : m_account->name},
                           {"endpoint", m_triedEndpoints.empty() ? "" : m_triedEndpoints.back()},
                           {"status", std::to_string(m_relay.response().status)},
+                          {"framing", framingName(m_relay.framing())},
+                          {"lastEvent", m_relay.lastEventId().value_or("")},
                           {"tries", std::to_string(m_triedEndpoints.size())},
                           {"firstEventMs", millisecondsText(m_relay.timeToFirstEvent())},
                           {"tookMs", millisecondsText(Loop::now() - m_incoming.arrived)},
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -91,13 +91,14 @@
                                    Duration retryAfter);
     void recordStatedLimit();
     void logBlocked(const CrashAttribution::Verdict &verdict);
-    void recordConnectionLost(const std::string &endpoint);
+    /** @param evidence what showed that the attempt was broken off, for the log */
+    void recordConnectionLost(const std::string &endpoint, const char *evidence);
     /** @param transfers receives the KV cache transfers that the headers ask for */
     platform::ForwardHeaders makeForwardHeaders(const EndpointPlacement::Choice &choice, TransferPlan &transfers) const;
 
     void handleData(std::string_view data);
-    void handleEnd(HttpCallResult result);
-    void logConnectionLost(const std::string &endpoint);
+    void handleEnd(HttpCallResult result, HttpBreakCause cause);
+    void logConnectionLost(const std::string &endpoint, const char *evidence);
     void handleNotRun();
     void handleBroken();
     void handleComplete();
--- a/main/proxy/responserelay.cpp
+++ b/main/proxy/responserelay.cpp
@@ -30,9 +30,10 @@
 {
 }
 
-void ResponseRelay::handleHead(const HttpHead &head, std::int64_t contentLength)
+void ResponseRelay::handleHead(const HttpHead &head, HttpBodyFraming framing, std::int64_t contentLength)
 {
     m_head = head;
+    m_framing = framing;
     m_contentLength = contentLength;
     m_response = platform::decodeEndpointResponse(head);
     m_buffer.clear();
@@ -125,6 +126,11 @@
     return m_response;
 }
 
+HttpBodyFraming ResponseRelay::framing() const
+{
+    return m_framing;
+}
+
 Duration ResponseRelay::timeToFirstEvent() const
 {
     return m_timeToFirstEvent;
--- a/main/proxy/responserelay.h
+++ b/main/proxy/responserelay.h
@@ -27,6 +27,7 @@
 
     HttpHead m_head;
     platform::EndpointResponse m_response;
+    HttpBodyFraming m_framing = HttpBodyFraming::Length;
     /** Negative if unknown. */
     std::int64_t m_contentLength = -1;
     std::string m_buffer;
@@ -42,7 +43,7 @@
     ResponseRelay(ProxyServices &services, HttpListener::ExchangeId exchange, TimePoint arrivedAt);
 
     /** @param contentLength length of the body in bytes; negative if unknown */
-    void handleHead(const HttpHead &head, std::int64_t contentLength);
+    void handleHead(const HttpHead &head, HttpBodyFraming framing, std::int64_t contentLength);
 
     /** Returns whether the data belongs to a successful stream, which means that the endpoint has prefilled the prompt. */
     bool handleData(const TrafficRoute &route, std::string_view data);
@@ -68,6 +69,8 @@
     bool isCallerBacklogged() const;
 
     const platform::EndpointResponse &response() const;
+    /** How the endpoint marks the end of its response. */
+    HttpBodyFraming framing() const;
     /** Time from the arrival of the request to the first event; zero before that event. */
     Duration timeToFirstEvent() const;
     /** Returns the id of the last forwarded event, or nullopt before the first. */
--- a/tests/drivers/httppool_test.cpp
+++ b/tests/drivers/httppool_test.cpp
@@ -95,7 +95,7 @@
         pool.cancel(call);
     };
     HttpPool::Handlers handlers;
-    handlers.onEnd = [](HttpCallResult) {
+    handlers.onEnd = [](HttpCallResult, HttpBreakCause) {
         FAIL("a cancelled call must not report its end");
     };
     call = pool.send(callWithId("1"), std::move(handlers));
