Log the store's era, and configurations that are already known

The header Store-Era is decoded with each response; a feed logs when it changes, with the status, the version and what the feed knew. No decision has changed.

--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -70,6 +70,10 @@
         return;
     }
     if (m_config != nullptr && config->version <= m_config->version) {
+        m_log.write("config", "configuration already known",
+                    {{"row", std::to_string(row.version)},
+                     {"version", std::to_string(config->version)},
+                     {"known", std::to_string(m_config->version)}});
         return;
     }
     m_config = std::make_shared<const TrafficConfig>(std::move(*config));
--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -88,8 +88,25 @@
     });
 }
 
+void StoreFeed::logEra(const platform::StoreReply &reply)
+{
+    if (!reply.era.has_value() || reply.era == m_era) {
+        return;
+    }
+    m_log.write("store", "era changed",
+                {{"table", m_table},
+                 {"era", std::to_string(*reply.era)},
+                 {"before", m_era.has_value() ? std::to_string(*m_era) : ""},
+                 {"status", std::to_string(reply.status)},
+                 {"version", std::to_string(reply.rows.version)},
+                 {"known", std::to_string(m_version)},
+                 {"rows", std::to_string(reply.rows.rows.size())}});
+    m_era = reply.era;
+}
+
 void StoreFeed::handleSnapshot(const platform::StoreReply &reply, TimePoint requestedAt)
 {
+    logEra(reply);
     if (reply.failure.has_value()) {
         handleFailure(reply);
         return;
@@ -113,6 +130,7 @@
 
 void StoreFeed::handleChanges(const platform::StoreReply &reply, TimePoint requestedAt)
 {
+    logEra(reply);
     if (reply.failure == platform::StoreFailure::HistoryGone) {
         m_log.write("store", "change history dropped, rereading table", {{"table", m_table}, {"version", std::to_string(m_version)}});
         m_hasSnapshot = false;
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     PollSettings m_pollSettings;
     Handlers m_handlers;
     std::int64_t m_version = 0;
+    /** As last stated by the store; nullopt before. */
+    std::optional<std::int64_t> m_era;
     bool m_hasSnapshot = false;
     bool m_isFailing = false;
     bool m_isPolling = false;
@@ -62,6 +65,7 @@
 
     /** Polls for changes; without a snapshot, reads the snapshot page that starts at key @p from. */
     void sendRequest(const std::string &from);
+    void logEra(const platform::StoreReply &reply);
     void handleSnapshot(const platform::StoreReply &reply, TimePoint requestedAt);
     void handleChanges(const platform::StoreReply &reply, TimePoint requestedAt);
     void handleFailure(const platform::StoreReply &reply);
