Put the store's era before the version in fencing tokens, and renew one that is outdated

What is seen: after the store has come back from an older copy, an endpoint daemon that starts gets a lower token than its engine has seen, where engines check tokens; all its orders are refused with 412, and the engine keeps its old weights for ever. Where they don't check, a lower token follows a higher one, or two holders have the same. Cause: the token was a version of the store, and versions go back in a new era. The era now comes first; a daemon that is refused for its token gets a new one after a time in which another holder would have given its orders.

--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -1,5 +1,7 @@
 #include "main/sidecar/sidecarrole.h"
 
+#include "servers/fencingtoken.h"
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -21,6 +23,8 @@
 constexpr Duration reportTimeout = std::chrono::milliseconds(500);
 constexpr Duration orderTimeout = std::chrono::milliseconds(800);
 constexpr Duration fencingTokenRetryDelay = std::chrono::milliseconds(500);
+// Another holder with a higher token gives no more orders after this time, unless it is the rightful one.
+constexpr Duration fencingTokenRenewalDelay = std::chrono::seconds(4);
 
 // An unchanged state is published again after this time, so that it does not expire at the entry daemons.
 constexpr Duration republishPeriod = std::chrono::milliseconds(600);
@@ -98,11 +102,20 @@
             });
             return;
         }
-        m_fencingToken = reply.rows.version;
+        m_fencingToken = makeFencingToken(reply.era, reply.rows.version);
         m_log.write("orders", "fencing token acquired", {{"fence", std::to_string(m_fencingToken)}});
     });
 }
 
+void SidecarRole::renewFencingToken()
+{
+    m_fencingToken = 0;
+    m_log.write("orders", "fencing token outdated", {{"engine", m_engineAddress}});
+    m_core.timers().subscribeOnce(fencingTokenRenewalDelay, [this](TimePoint) {
+        acquireFencingToken();
+    });
+}
+
 void SidecarRole::handleMessage(const MessageOrigin &origin, const wire::Body &body)
 {
     if (body.__isset.entryHello) {
@@ -326,9 +339,12 @@
                      {"expected", std::to_string(order.expectedOrders)},
                      {"fence", std::to_string(order.fence)},
                      {"status", std::to_string(status)}});
-        if (outcome == platform::OrderOutcome::Refused) {
+        if (outcome == platform::OrderOutcome::Refused || outcome == platform::OrderOutcome::Outdated) {
             m_rollout.recordRefused(Loop::now());
         }
+        if (outcome == platform::OrderOutcome::Outdated && m_fencingToken == order.fence) {
+            renewFencingToken();
+        }
         requestReport();
     });
 }
--- a/main/sidecar/sidecarrole.h
+++ b/main/sidecar/sidecarrole.h
@@ -67,6 +67,8 @@
     void handlePromptMessage(const MessageOrigin &origin, const wire::Body &body);
     int countEntryDaemons(TimePoint now);
     void acquireFencingToken();
+    /** Replaces a token that is lower than the engine has seen. */
+    void renewFencingToken();
     void tick(TimePoint now);
     void requestReport();
     void handleReport(const std::optional<platform::EngineReport> &report);
--- a/tests/fakes/scriptedendpoint.h
+++ b/tests/fakes/scriptedendpoint.h
@@ -47,6 +47,7 @@
         std::unique_ptr<TcpSocket> socket;
         std::unique_ptr<HttpRequestReader> reader;
         std::string input;
+        std::string body;
         int descriptor = -1;
     };
 
@@ -61,7 +62,7 @@
         const std::uint64_t id = ++m_lastId;
         Connection &connection = m_connections[id];
         connection.descriptor = descriptor;
-        connection.reader = makeReader();
+        connection.reader = makeReader(id);
         TcpSocket::Handlers handlers;
         handlers.onData = [this, id](std::string_view data) {
             receive(id, data);
@@ -73,10 +74,13 @@
         connection.socket->adopt(descriptor);
     }
 
-    static std::unique_ptr<HttpRequestReader> makeReader()
+    std::unique_ptr<HttpRequestReader> makeReader(std::uint64_t id)
     {
         return std::make_unique<HttpRequestReader>(
-            HttpReadLimits(), [](const HttpHead &) {}, [](std::string_view) {});
+            HttpReadLimits(), [](const HttpHead &) {},
+            [this, id](std::string_view data) {
+                m_connections.at(id).body.append(data);
+            });
     }
 
     void receive(std::uint64_t id, std::string_view data)
@@ -87,8 +91,10 @@
             return;
         }
         const HttpHead head = connection.reader->head();
-        connection.reader = makeReader();
+        connection.reader = makeReader(id);
         received.push_back(head);
+        lastBody = std::move(connection.body);
+        connection.body.clear();
         send(id, m_script(head), 0);
     }
 
@@ -148,6 +154,8 @@
 
 public:
     std::vector<HttpHead> received;
+    /** The body of the last request. */
+    std::string lastBody;
 
     ScriptedEndpoint(Loop &loop, const SocketAddress &address, Script script)
         : m_loop(loop)
--- a/tests/servers/sseframer_test.cpp
+++ b/tests/servers/sseframer_test.cpp
@@ -49,7 +49,8 @@
 TEST_CASE("[SseFramer] A stream that ends inside an event is told from one that ends after it")
 {
     for (const std::string &lineEnd : {std::string("\n"), std::string("\r\n"), std::string("\r")}) {
-        const std::string event = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        std::string event = "id: 1";
+        event.append(lineEnd).append("data: a").append(lineEnd).append(lineEnd);
         // A lone CR is a line end, so the last LF of a CRLF is not needed.
         const std::size_t last = lineEnd == "\r\n" ? event.size() - 1 : event.size();
         for (std::size_t size = 1; size <= event.size(); ++size) {
