Keep what is known of endpoints that left when the list comes back from an older copy

What callers would see: requests sent to an endpoint that had announced that it leaves, or that had been removed, since the list of a new era has it as ready again.

A new era counts as an outage, so that endpoints that registered since the copy are kept for the grace period.

--- a/main/feeds/endpointfeed.cpp
+++ b/main/feeds/endpointfeed.cpp
@@ -20,13 +20,16 @@
     : m_log(log)
     , m_directory(returnGrace)
     , m_feed(loop, store, log, platform::names::endpointTable, pollSettings,
-             StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows, bool) {
-                                     applySnapshot(rows);
+             StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows, bool isOfNewEra) {
+                                     applySnapshot(rows, isOfNewEra);
                                  },
                                  [this](const std::vector<platform::StoreRow> &rows) {
                                      applyChanges(rows);
                                  },
                                  [](TimePoint) {},
+                                 [this](TimePoint now) {
+                                     m_directory.recordOutage(now);
+                                 },
                                  [this](TimePoint now) {
                                      m_directory.recordOutage(now);
                                  }})
@@ -60,7 +63,7 @@
     }
 }
 
-void EndpointFeed::applySnapshot(const std::vector<platform::StoreRow> &rows)
+void EndpointFeed::applySnapshot(const std::vector<platform::StoreRow> &rows, bool isOfNewEra)
 {
     std::vector<ListedEndpoint> endpoints;
     for (const platform::StoreRow &row : rows) {
@@ -72,7 +75,7 @@
         }
     }
     m_log.write("endpoints", "endpoint list read", {{"endpoints", std::to_string(endpoints.size())}});
-    m_directory.replaceAll(std::move(endpoints), Loop::now());
+    m_directory.replaceAll(std::move(endpoints), Loop::now(), isOfNewEra);
     m_hasSnapshot = true;
     notifyChange();
 }
--- a/main/feeds/endpointfeed.h
+++ b/main/feeds/endpointfeed.h
@@ -22,7 +22,7 @@
     std::vector<ChangeHandler> m_changeHandlers;
     bool m_hasSnapshot = false;
 
-    void applySnapshot(const std::vector<platform::StoreRow> &rows);
+    void applySnapshot(const std::vector<platform::StoreRow> &rows, bool isOfNewEra);
     void applyChanges(const std::vector<platform::StoreRow> &rows);
     void logMalformed(const platform::StoreRow &row);
     void notifyChange();
--- a/servers/endpointdirectory.cpp
+++ b/servers/endpointdirectory.cpp
@@ -7,6 +7,16 @@
 namespace citronspar
 {
 
+namespace
+{
+
+// The platform removes the entry of an endpoint that is silent for three heartbeats.
+constexpr Duration expiryTime = std::chrono::seconds(5);
+
+constexpr std::size_t maxDepartures = 10000;
+
+}
+
 EndpointDirectory::EndpointDirectory(Duration returnGrace)
     : m_returnGrace(returnGrace)
 {
@@ -20,16 +30,39 @@
     }
 }
 
+const EndpointDirectory::Departure *EndpointDirectory::findDeparture(const ListedEndpoint &endpoint) const
+{
+    const auto found = m_departures.find(endpoint.id);
+    return found != m_departures.end() && found->second.startedMs == endpoint.startedMs ? &found->second : nullptr;
+}
+
+void EndpointDirectory::recordDeparture(const ListedEndpoint &endpoint)
+{
+    if (m_departures.size() >= maxDepartures) {
+        m_departures.erase(m_departures.begin());
+    }
+    m_departures[endpoint.id] = Departure{endpoint.startedMs, endpoint.isDraining};
+}
+
 void EndpointDirectory::put(ListedEndpoint endpoint)
 {
     m_pendingRemovals.erase(endpoint.id);
+    m_doubtful.erase(endpoint.id);
     m_isIndexed = false;
+    const Departure *departure = findDeparture(endpoint);
+    endpoint.isDraining = endpoint.isDraining || (departure != nullptr && departure->isDraining);
+    if (endpoint.isDraining) {
+        recordDeparture(endpoint);
+    } else {
+        m_departures.erase(endpoint.id);
+    }
     const std::string id = endpoint.id;
     m_endpoints[id] = std::move(endpoint);
 }
 
 void EndpointDirectory::remove(const std::string &id, TimePoint now)
 {
+    m_doubtful.erase(id);
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
         return;
@@ -41,15 +74,21 @@
         return;
     }
     m_isIndexed = false;
+    recordDeparture(found->second);
     m_endpoints.erase(found);
 }
 
-void EndpointDirectory::replaceAll(std::vector<ListedEndpoint> endpoints, TimePoint now)
+void EndpointDirectory::replaceAll(std::vector<ListedEndpoint> endpoints, TimePoint now, bool isOlderCopy)
 {
     std::set<std::string> present;
     for (ListedEndpoint &endpoint : endpoints) {
-        present.insert(endpoint.id);
-        put(std::move(endpoint));
+        const std::string id = endpoint.id;
+        present.insert(id);
+        if (isOlderCopy && m_endpoints.count(id) == 0 && findDeparture(endpoint) != nullptr) {
+            m_doubtful[id] = {std::move(endpoint), now + expiryTime};
+        } else {
+            put(std::move(endpoint));
+        }
     }
     std::vector<std::string> missing;
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
@@ -65,13 +104,27 @@
 bool EndpointDirectory::applyDueRemovals(TimePoint now)
 {
     bool isChanged = false;
+    std::vector<ListedEndpoint> running;
+    for (const std::pair<const std::string, std::pair<ListedEndpoint, TimePoint>> &doubtful : m_doubtful) {
+        if (doubtful.second.second <= now) {
+            running.push_back(doubtful.second.first);
+        }
+    }
+    for (ListedEndpoint &endpoint : running) {
+        put(std::move(endpoint));
+        isChanged = true;
+    }
     for (auto it = m_pendingRemovals.begin(); it != m_pendingRemovals.end();) {
         if (it->second > now) {
             ++it;
             continue;
         }
         m_isIndexed = false;
-        m_endpoints.erase(it->first);
+        const auto found = m_endpoints.find(it->first);
+        if (found != m_endpoints.end()) {
+            recordDeparture(found->second);
+            m_endpoints.erase(found);
+        }
         it = m_pendingRemovals.erase(it);
         isChanged = true;
     }
--- a/servers/endpointdirectory.h
+++ b/servers/endpointdirectory.h
@@ -41,6 +41,16 @@
     std::map<std::string, ListedEndpoint> m_endpoints;
     /** Delayed removals, with the time at which each takes effect. */
     std::map<std::string, TimePoint> m_pendingRemovals;
+    /** Entries that an older copy of the list has, of endpoints that were removed, and when they count as running after all. */
+    std::map<std::string, std::pair<ListedEndpoint, TimePoint>> m_doubtful;
+
+    /** What is known of an endpoint that leaves or was removed. */
+    struct Departure
+    {
+        std::int64_t startedMs = 0;
+        bool isDraining = false;
+    };
+    std::map<std::string, Departure> m_departures;
     TimePoint m_lastOutage = timeNever;
     Duration m_returnGrace;
     /** Lookup tables used for each request, rebuilt on the first lookup after a change. */
@@ -49,6 +59,8 @@
     mutable bool m_isIndexed = false;
 
     void rebuildIndex() const;
+    const Departure *findDeparture(const ListedEndpoint &endpoint) const;
+    void recordDeparture(const ListedEndpoint &endpoint);
 
 public:
     /** @param returnGrace how long after an outage a removal may have been caused by it */
@@ -57,14 +69,18 @@
     /** Records that the list's store was unreachable at @p now; restarts the grace period of delayed removals. */
     void recordOutage(TimePoint now);
 
-    /** Adds an endpoint or replaces its entry. Cancels a delayed removal. */
+    /** Adds an endpoint or replaces its entry. Cancels a delayed removal. An endpoint that has announced that it leaves stays so. */
     void put(ListedEndpoint endpoint);
 
     /** Removes an endpoint, after the grace period if an outage may have caused the removal. */
     void remove(const std::string &id, TimePoint now);
 
-    /** Replaces the whole list with @p endpoints; missing entries are removed as by remove(). */
-    void replaceAll(std::vector<ListedEndpoint> endpoints, TimePoint now);
+    /**
+     * Replaces the whole list with @p endpoints; missing entries are removed as by remove().
+     * @param isOlderCopy the list may lack changes that were received before; an endpoint that was removed is not used until
+     *        it is put again, or is still listed after the time in which a dead one expires
+     */
+    void replaceAll(std::vector<ListedEndpoint> endpoints, TimePoint now, bool isOlderCopy = false);
 
     /** Applies the delayed removals that are due at @p now. Returns whether there were any. */
     bool applyDueRemovals(TimePoint now);
--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -68,6 +68,59 @@
     CHECK(directory.applyDueRemovals(start + std::chrono::seconds(5)));
 }
 
+TEST_CASE("[EndpointDirectory] An endpoint that has announced that it leaves is not used if an older copy of the list lacks that")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("a"));
+    directory.put(endpoint("a", true));
+    directory.replaceAll({endpoint("a")}, start, true);
+    CHECK(directory.available("pool").empty());
+    directory.remove("a", start);
+    directory.replaceAll({endpoint("a")}, start, true);
+    CHECK(directory.available("pool").empty());
+    directory.put(endpoint("a"));
+    CHECK(directory.available("pool").empty());
+    ListedEndpoint restarted = endpoint("a");
+    restarted.startedMs = 5000;
+    directory.put(restarted);
+    CHECK(directory.available("pool").size() == 1);
+}
+
+TEST_CASE("[EndpointDirectory] An endpoint that was removed is not used if an older copy of the list has it, until it is heard of again")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("gone"));
+    directory.put(endpoint("returns"));
+    directory.put(endpoint("silent"));
+    directory.put(endpoint("stays"));
+    for (const char *id : {"gone", "returns", "silent"}) {
+        directory.remove(id, start);
+    }
+    directory.replaceAll({endpoint("gone"), endpoint("returns"), endpoint("silent"), endpoint("stays")}, start, true);
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->id == "stays");
+    directory.put(endpoint("returns"));
+    CHECK(directory.available("pool").size() == 2);
+    directory.remove("gone", start + std::chrono::seconds(3));
+    directory.applyDueRemovals(start + std::chrono::seconds(4));
+    CHECK(directory.available("pool").size() == 2);
+    // One that is still listed after the time in which a dead one expires is running, and had only lost its entry for a moment.
+    CHECK(directory.applyDueRemovals(start + std::chrono::seconds(20)));
+    CHECK(directory.available("pool").size() == 3);
+    CHECK(directory.find("gone") == nullptr);
+}
+
+TEST_CASE("[EndpointDirectory] An endpoint that an older copy of the list lacks is kept for the grace period")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("new"));
+    directory.recordOutage(start);
+    directory.replaceAll({}, start, true);
+    CHECK(directory.available("pool").size() == 1);
+    CHECK(directory.applyDueRemovals(start + grace));
+    CHECK(directory.available("pool").empty());
+}
+
 TEST_CASE("[EndpointDirectory] Of two incarnations at one address only the newer one receives requests")
 {
     EndpointDirectory directory(grace);
