Keep crash evidence when its table comes back from an older copy, and write it again

What callers would see: requests with a part that crashes engines reach engines again, since the daemons replaced all evidence by the rows of an older copy. Now what a daemon knows stays in force; rows that the copy lacks are written again, by their reporter at once and else by another daemon after 1 to 3 s, and rows that were removed since are removed again. A trial that is claimed across eras does not count: the versions that it expects have been given out again.

In virtual time with 3 and 33 daemons, a cut, a freeze and a restart (20 seeds each) the part stays blocked, also at daemons that start afterwards; a version that replaces all rows, as the code before did, fails.

--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -67,6 +67,11 @@
     return m_follower.clock();
 }
 
+std::optional<std::int64_t> StoreFeed::era() const
+{
+    return m_follower.era();
+}
+
 bool StoreFeed::isConnected() const
 {
     return m_follower.hasSnapshot() && !m_follower.isFailing();
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,9 @@
     /** The clock of the store, as known from its responses. */
     const StoreClock &clock() const;
 
+    /** The era of the store; nullopt before the first response that states it. */
+    std::optional<std::int64_t> era() const;
+
     /** Whether the table has been read, and the last request did not fail. */
     bool isConnected() const;
 };
--- a/main/proxy/crashguard.cpp
+++ b/main/proxy/crashguard.cpp
@@ -56,8 +56,8 @@
     , m_tracker(daemon)
     , m_endpointCheck(loop)
     , m_feed(loop, store, log, crashTable, polling,
-             StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows, bool) {
-                                     handleSnapshot(rows);
+             StoreFeed::Handlers{[this](const std::vector<platform::StoreRow> &rows, bool isOfNewEra) {
+                                     handleSnapshot(rows, isOfNewEra);
                                  },
                                  [this](const std::vector<platform::StoreRow> &rows) {
                                      handleChanges(rows);
@@ -77,7 +77,7 @@
     const Duration offset = m_feed.clock().offset().value_or(Loop::now().time_since_epoch());
     for (const platform::StoreRow &row : rows) {
         if (row.isDeleted) {
-            m_tracker.removeRow(row.key);
+            m_tracker.removeRow(row.key, Loop::now());
             m_trialVersions.erase(row.key);
             continue;
         }
@@ -94,10 +94,15 @@
     return decoded;
 }
 
-void CrashGuard::handleSnapshot(const std::vector<platform::StoreRow> &rows)
+void CrashGuard::handleSnapshot(const std::vector<platform::StoreRow> &rows, bool isOfNewEra)
 {
     m_trialVersions.clear();
-    m_tracker.replaceRows(decodeRows(rows), Loop::now());
+    const std::vector<CrashRow> decoded = decodeRows(rows);
+    if (isOfNewEra) {
+        m_tracker.mergeOlderRows(decoded, Loop::now());
+    } else {
+        m_tracker.replaceRows(decoded, Loop::now());
+    }
     m_log.write("crashes", "evidence read", {{"rows", std::to_string(rows.size())}});
     update();
 }
@@ -132,8 +137,12 @@
     }
     // While the table can't be read, no other daemon can be asked, and blocked sound requests must have a way out.
     const bool isConnected = m_feed.isConnected();
-    m_store.transact(transaction, [this, id, rows, isConnected](const platform::StoreReply &reply) {
-        const bool isClaimed = !reply.failure.has_value() || (!isConnected && reply.failure != platform::StoreFailure::Conflict);
+    const std::optional<std::int64_t> era = m_feed.era();
+    m_store.transact(transaction, [this, id, rows, isConnected, era](const platform::StoreReply &reply) {
+        // In another era the expected versions have been given out again, and hold by accident.
+        const bool isWritten = !reply.failure.has_value() && reply.era == era;
+        const bool isClaimed
+            = isWritten || (!isConnected && reply.failure.has_value() && reply.failure != platform::StoreFailure::Conflict);
         for (const CrashRow &row : rows) {
             // Without an answer the claim may have been stored, so this daemon does not try again before the next interval.
             m_tracker.applyRow(row, Loop::now());
--- a/main/proxy/crashguard.h
+++ b/main/proxy/crashguard.h
@@ -44,7 +44,7 @@
     std::set<SuspectId> m_loggedBlocks;
 
     std::vector<CrashRow> decodeRows(const std::vector<platform::StoreRow> &rows);
-    void handleSnapshot(const std::vector<platform::StoreRow> &rows);
+    void handleSnapshot(const std::vector<platform::StoreRow> &rows, bool isOfNewEra);
     void handleChanges(const std::vector<platform::StoreRow> &rows);
     void update();
     void writeRows();
--- a/servers/crashattribution.cpp
+++ b/servers/crashattribution.cpp
@@ -112,6 +112,11 @@
     }
 }
 
+const std::map<std::string, CrashRow> &CrashAttribution::rows() const
+{
+    return m_rows;
+}
+
 void CrashAttribution::remove(const std::string &key)
 {
     const auto found = m_rows.find(key);
--- a/servers/crashattribution.h
+++ b/servers/crashattribution.h
@@ -139,6 +139,8 @@
     explicit CrashAttribution(Settings settings);
 
     void apply(const CrashRow &row, TimePoint now);
+    const std::map<std::string, CrashRow> &rows() const;
+
     /** Drops a row that was removed from the table. */
     void remove(const std::string &key);
     void clear();
--- a/servers/crashtracker.cpp
+++ b/servers/crashtracker.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace citronspar
@@ -22,6 +23,17 @@
 // Many daemons can clear the same suspect. Their rows are spread, so that the first ones make the others needless.
 constexpr Duration clearanceSpread = std::chrono::milliseconds(150);
 
+// The reporter of a crash writes its report again first. The other daemons follow if it has ended, spread so that one of them is enough.
+constexpr Duration ownRewriteSpread = std::chrono::milliseconds(100);
+constexpr Duration othersRewriteDelay = std::chrono::seconds(1);
+constexpr Duration othersRewriteSpread = std::chrono::seconds(2);
+
+// A copy that the table comes back from is some seconds old.
+constexpr Duration removedKeyLifetime = std::chrono::minutes(1);
+
+// The times of one row differ by this much at most between daemons, as each measures the offset of the table's clock.
+constexpr Duration clockTolerance = std::chrono::milliseconds(50);
+
 // A row of the table has 64 KiB, and callers choose the number of parts.
 constexpr std::size_t maxSuspectsPerReport = 1024;
 
@@ -134,6 +146,7 @@
 
 void CrashTracker::update(TimePoint now)
 {
+    rewriteRows(now);
     reportCrashes(now);
     writeClearances(now);
 }
@@ -149,6 +162,9 @@
     for (const std::pair<const SuspectId, TimePoint> &clearance : m_clearances) {
         next = std::min(next, clearance.second);
     }
+    for (const std::pair<const std::string, TimePoint> &rewrite : m_rewrites) {
+        next = std::min(next, rewrite.second);
+    }
     return next == TimePoint::max() ? timeNever : next;
 }
 
@@ -223,19 +239,79 @@
     if (m_unwritten.count(crashRowKey(row)) > 0) {
         return;
     }
+    m_rewrites.erase(crashRowKey(row));
+    m_removedKeys.erase(crashRowKey(row));
     m_attribution.apply(row, now);
     for (const CrashSuspect &suspect : row.report.suspects) {
         scheduleClearance(suspect.id, now);
     }
 }
 
-void CrashTracker::removeRow(const std::string &key)
+void CrashTracker::removeRow(const std::string &key, TimePoint now)
 {
     if (m_unwritten.count(key) == 0) {
+        m_rewrites.erase(key);
+        m_removedKeys[key] = now;
         m_attribution.remove(key);
     }
 }
 
+void CrashTracker::scheduleRewrite(const CrashRow &row, TimePoint now)
+{
+    const std::string key = crashRowKey(row);
+    const bool isOwn = row.kind == CrashRow::Kind::Report && row.report.reporter == m_daemon;
+    const Duration spread = isOwn ? ownRewriteSpread : othersRewriteSpread;
+    const std::uint64_t hash = hashBytes(key, hashBytes(m_daemon, 0));
+    const Duration delay = (isOwn ? Duration::zero() : othersRewriteDelay)
+        + Duration(static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(spread.count())));
+    m_rewrites[key] = now + delay;
+}
+
+void CrashTracker::rewriteRows(TimePoint now)
+{
+    for (auto it = m_rewrites.begin(); it != m_rewrites.end();) {
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        const auto row = m_attribution.rows().find(it->first);
+        if (row != m_attribution.rows().end()) {
+            m_unwritten.emplace(row->first, row->second);
+        }
+        it = m_rewrites.erase(it);
+    }
+}
+
+void CrashTracker::mergeOlderRows(const std::vector<CrashRow> &rows, TimePoint now)
+{
+    for (auto it = m_removedKeys.begin(); it != m_removedKeys.end();) {
+        it = now - it->second > removedKeyLifetime ? m_removedKeys.erase(it) : std::next(it);
+    }
+    std::set<std::string> current;
+    for (const CrashRow &row : rows) {
+        const std::string key = crashRowKey(row);
+        if (m_removedKeys.count(key) > 0) {
+            m_obsoleteKeys.push_back(key);
+            continue;
+        }
+        const auto known = m_attribution.rows().find(key);
+        const bool isOlder = known != m_attribution.rows().end()
+            && (row.at + clockTolerance < known->second.at || row.report.suspects.size() < known->second.report.suspects.size());
+        if (isOlder) {
+            continue;
+        }
+        current.insert(key);
+        if (known == m_attribution.rows().end()) {
+            applyRow(row, now);
+        }
+    }
+    for (const std::pair<const std::string, CrashRow> &row : m_attribution.rows()) {
+        if (current.count(row.first) == 0 && m_unwritten.count(row.first) == 0) {
+            scheduleRewrite(row.second, now);
+        }
+    }
+}
+
 void CrashTracker::replaceRows(const std::vector<CrashRow> &rows, TimePoint now)
 {
     m_attribution.clear();
@@ -249,7 +325,10 @@
 
 std::vector<std::string> CrashTracker::takeDroppedKeys(TimePoint now)
 {
-    return m_attribution.takeDroppedKeys(now);
+    std::vector<std::string> keys = m_attribution.takeDroppedKeys(now);
+    keys.insert(keys.end(), m_obsoleteKeys.begin(), m_obsoleteKeys.end());
+    m_obsoleteKeys.clear();
+    return keys;
 }
 
 std::vector<SuspectId> CrashTracker::blockedSuspects(TimePoint now)
--- a/servers/crashtracker.h
+++ b/servers/crashtracker.h
@@ -54,11 +54,19 @@
     std::map<SuspectId, TimePoint> m_clearances;
     /** Rows that have not been written yet, by key. */
     std::map<std::string, CrashRow> m_unwritten;
+    /** Rows that the table has lost, and when they are to be written again unless another daemon has done so. */
+    std::map<std::string, TimePoint> m_rewrites;
+    /** The keys of rows that were removed from the table, and when. */
+    std::map<std::string, TimePoint> m_removedKeys;
+    /** Keys of rows that are to be removed from the table once more. */
+    std::vector<std::string> m_obsoleteKeys;
 
     void addSuspects(LostAttempts &lost, const std::vector<CrashSuspect> &suspects);
     void handleEnded(LostAttempts &lost, TimePoint now);
     void scheduleClearance(SuspectId suspect, TimePoint now);
     void reportCrashes(TimePoint now);
+    void rewriteRows(TimePoint now);
+    void scheduleRewrite(const CrashRow &row, TimePoint now);
     void writeClearances(TimePoint now);
     void addRow(const CrashRow &row, TimePoint now);
 
@@ -97,10 +105,16 @@
 
     /** Applies a row that was read from the table. */
     void applyRow(const CrashRow &row, TimePoint now);
-    void removeRow(const std::string &key);
+    void removeRow(const std::string &key, TimePoint now);
     /** Replaces all rows by those of a snapshot of the table. Rows that are not written yet stay in force. */
     void replaceRows(const std::vector<CrashRow> &rows, TimePoint now);
 
+    /**
+     * Applies the rows of an older copy that the table has come back from. What is known stays in force; rows that the copy
+     * lacks are written again, the reports of this daemon at once, and rows that were removed since are removed again.
+     */
+    void mergeOlderRows(const std::vector<CrashRow> &rows, TimePoint now);
+
     /** The keys of rows that no longer count and may be removed from the table. */
     std::vector<std::string> takeDroppedKeys(TimePoint now);
 
--- a/tests/fakes/crashsimulation.h
+++ b/tests/fakes/crashsimulation.h
@@ -56,12 +56,18 @@
         bool isFrozen = false;
         TimePoint disturbedAt = timeNever;
         TimePoint updateAt = timeNever;
+        /** How often the table had come back from a copy when the daemon last read it. */
+        int tableEra = 0;
     };
 
     EventScheduler scheduler;
     std::vector<Daemon> daemons;
     std::vector<Engine> engines;
     std::map<std::string, CrashRow> table;
+    std::map<std::string, CrashRow> copiedTable;
+    int tableEra = 0;
+    /** Whether daemons take an older copy of the table for the whole truth; broken on purpose. */
+    bool replacesByOlderRows = false;
     std::set<SuspectId> badParts;
     EndSignal endSignal = EndSignal::Reset;
     Duration restartTime = std::chrono::seconds(3);
@@ -120,8 +126,26 @@
         attempt(daemon, request);
     }
 
+    void copyTable()
+    {
+        copiedTable = table;
+    }
+
+    /** The table comes back from the copy. */
+    void restoreTable()
+    {
+        table = copiedTable;
+        ++tableEra;
+        for (std::size_t i = 0; i < daemons.size(); ++i) {
+            if (!daemons[i].isCut && !daemons[i].isFrozen) {
+                readTable(static_cast<int>(i));
+            }
+        }
+    }
+
     void restartDaemon(int number)
     {
+        daemons[static_cast<std::size_t>(number)].tableEra = tableEra;
         Daemon &daemon = daemons[static_cast<std::size_t>(number)];
         daemon.tracker = std::make_unique<CrashTracker>("entry-" + std::to_string(number));
         ++daemon.incarnation;
@@ -439,7 +463,14 @@
             for (const std::pair<const std::string, CrashRow> &row : table) {
                 rows.push_back(row.second);
             }
-            daemon.tracker->replaceRows(rows, now());
+            const bool isOlderCopy = daemon.tableEra != tableEra && !replacesByOlderRows;
+            daemon.tableEra = tableEra;
+            if (isOlderCopy) {
+                daemon.tracker->mergeOlderRows(rows, now());
+            } else {
+                daemon.tracker->replaceRows(rows, now());
+            }
+            scheduleUpdate(number);
         });
     }
 };
--- a/tests/servers/crashtracker_test.cpp
+++ b/tests/servers/crashtracker_test.cpp
@@ -190,6 +190,80 @@
     CHECK(failingSeed == 0);
 }
 
+namespace
+{
+
+/** Returns a seed with which a bad part is not known to all daemons after the table has come back from a copy; 0 if there is none. */
+std::uint64_t findSeedWithLostEvidence(int daemonCount, bool replacesByOlderRows)
+{
+    return findFailingSeed(Seeds(20), [&](std::uint64_t seed) {
+        CrashSimulation fleet(seed, daemonCount, engineCount);
+        fleet.badParts = {badPart};
+        fleet.replacesByOlderRows = replacesByOlderRows;
+        play(fleet, Traffic{Traffic().soundInterval, Duration::zero(), {}}, std::chrono::seconds(5));
+        fleet.copyTable();
+        play(fleet, Traffic(), std::chrono::seconds(3));
+        fleet.cutDaemon(0, std::chrono::seconds(3));
+        fleet.freezeDaemon(1, std::chrono::seconds(2));
+        if (seed % 2 == 0) {
+            // Its reports have to be written again by others.
+            fleet.restartDaemon(2);
+        }
+        fleet.scheduler.runFor(std::chrono::milliseconds(100));
+        fleet.restoreTable();
+        play(fleet, Traffic(), std::chrono::seconds(8));
+        const bool isKnown = fleet.isBlockedEverywhere(badPart) && fleet.mostLateArrivals() <= toleratedArrivals;
+        for (int i = 0; i < daemonCount; ++i) {
+            fleet.restartDaemon(i);
+        }
+        fleet.scheduler.runFor(CrashSimulation::contactTime);
+        return isKnown && fleet.isBlockedEverywhere(badPart);
+    });
+}
+
+}
+
+TEST_CASE("[CrashTracker] Evidence that the table has lost stays in force and is written again")
+{
+    CHECK(findSeedWithLostEvidence(3, false) == 0);
+    CHECK(findSeedWithLostEvidence(33, false) == 0);
+    CHECK(findSeedWithLostEvidence(3, true) != 0);
+}
+
+TEST_CASE("[CrashTracker] A row that was removed stays removed after the table has come back from an older copy that has it")
+{
+    const TimePoint start{std::chrono::seconds(100)};
+    CrashTracker tracker("entry-1");
+    CrashRow row;
+    row.report = CrashReport{"engine@1", "entry-2", start, {CrashSuspect{badPart, false, 0}}};
+    tracker.applyRow(row, start);
+    tracker.removeRow(crashRowKey(row), start + std::chrono::seconds(1));
+    tracker.mergeOlderRows({row}, start + std::chrono::seconds(2));
+    tracker.update(start + std::chrono::seconds(10));
+    CHECK(tracker.unwrittenRows().empty());
+    CHECK(tracker.takeDroppedKeys(start + std::chrono::seconds(10)) == std::vector<std::string>{crashRowKey(row)});
+}
+
+TEST_CASE("[CrashTracker] A lost row is written again once, by its reporter first")
+{
+    const TimePoint start{std::chrono::seconds(100)};
+    CrashRow row;
+    row.report = CrashReport{"engine@1", "entry-2", start, {CrashSuspect{badPart, false, 0}}};
+    CrashTracker reporter("entry-2");
+    CrashTracker other("entry-1");
+    for (CrashTracker *tracker : {&reporter, &other}) {
+        tracker->applyRow(row, start);
+        tracker->mergeOlderRows({}, start);
+        tracker->update(start + std::chrono::milliseconds(200));
+    }
+    CHECK(reporter.unwrittenRows().size() == 1);
+    CHECK(other.unwrittenRows().empty());
+    other.applyRow(row, start + std::chrono::milliseconds(220));
+    other.update(start + std::chrono::seconds(10));
+    CHECK(other.unwrittenRows().empty());
+    CHECK(other.nextUpdateAt() == timeNever);
+}
+
 TEST_CASE("[CrashTracker] A part that no longer crashes engines is released by a trial, and trials of a bad one are few")
 {
     CrashSimulation fleet(3, 5, engineCount);
