Do not take an older copy of the configuration for the newest one before the operators have written again what it lacks

What callers would see: a key that was withdrawn while a daemon was cut off, and whose withdrawal the store has lost, is accepted when the daemon reaches the store again before the operators have written the configuration again, as the older copy confirms the daemon's older one. In the first second of a new era the copy does not confirm keys; they are refused once the confirmation of the earlier era is too old.

--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// In this time after a restore the operators have written again what the copy lacks.
+constexpr Duration rewriteTime = std::chrono::milliseconds(1000);
+
 // The store answers a waiting feed request at once, so a change was made just now unless the feed was interrupted.
 constexpr Duration maxUninterruptedGap = std::chrono::milliseconds(2500);
 
@@ -26,9 +29,14 @@
                                      applyRows(rows);
                                  },
                                  [this](TimePoint producedAt) {
-                                     m_confirmedAt = std::max(m_confirmedAt, producedAt);
+                                     if (producedAt >= m_settledAt) {
+                                         m_confirmedAt = std::max(m_confirmedAt, producedAt);
+                                     }
                                  },
-                                 [](TimePoint) {}})
+                                 [](TimePoint) {},
+                                 [this](TimePoint now) {
+                                     m_settledAt = now + rewriteTime;
+                                 }})
 {
 }
 
--- a/main/feeds/operatorfeed.h
+++ b/main/feeds/operatorfeed.h
@@ -33,6 +33,8 @@
     std::shared_ptr<const TrafficConfig> m_config;
     std::map<std::string, WantedWeightsState> m_weights;
     TimePoint m_confirmedAt = timeNever;
+    /** Responses that the store has produced before do not confirm the configuration. */
+    TimePoint m_settledAt = timeNever;
     ConfigHandler m_configHandler;
     WeightsHandler m_weightsHandler;
 
@@ -53,7 +55,11 @@
     /** Returns the weights version that the operators set for @p model; version 0 if they set none. */
     WantedWeightsState wantedWeights(const std::string &model) const;
 
-    /** The earliest time at which the store can have produced its last response; timeNever before the first one. */
+    /**
+     * The earliest time at which the store can have produced the last response that shows the newest configuration; timeNever
+     * before the first one. After the store has come back from an older copy, responses do not show it until the operators
+     * have had time to write again what the copy lacks.
+     */
     TimePoint confirmedAt() const;
 };
 
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -431,3 +431,28 @@
     CHECK(proxy.eventuallyResponds("/once/x", "good-key", 401));
     CHECK(proxy.eventuallyResponds("/once/x", "second-key", 200));
 }
+
+TEST_CASE("[ProxyRole] Keys are not confirmed by an older copy of the configuration before the operators have written it again")
+{
+    Settings settings = entryDaemonSettings();
+    settings.platform->keyRevocation = std::chrono::milliseconds(1400);
+    ProxyFixture proxy(true, settings);
+    proxy.store.copyTables();
+    proxy.store.dropsRequests = true;
+    // The key is withdrawn while the daemon can't reach the store, and the store loses that.
+    proxy.store.put("op", "config", makeConfig(8, {"second-key"}));
+    proxy.runFor(std::chrono::milliseconds(900));
+    proxy.store.restoreCopy();
+    proxy.store.dropsRequests = false;
+    proxy.core.timers().subscribeOnce(std::chrono::milliseconds(700), [&proxy](TimePoint) {
+        proxy.store.put("op", "config", makeConfig(8, {"second-key"}));
+    });
+    const TimePoint withdrawn = Loop::now() - std::chrono::milliseconds(900);
+    while (Loop::now() < withdrawn + std::chrono::milliseconds(3500)) {
+        const TimePoint sentAt = Loop::now();
+        const bool isAccepted = proxy.sendRequest("/once/x").head.status == 200;
+        CHECK_FALSE((isAccepted && sentAt > withdrawn + std::chrono::milliseconds(1400)));
+        proxy.runFor(std::chrono::milliseconds(20));
+    }
+    CHECK(proxy.eventuallyResponds("/once/x", "second-key", 200));
+}
