Count restores of the store in a metric

citronspar_store_eras_total counts how often the store has come back from an older copy since the daemon started, so that an alert does not depend on the log.

--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -1,5 +1,7 @@
 #include "main/proxy/proxyrole.h"
 
+#include "main/feeds/eracounter.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -101,6 +103,7 @@
                  settings.weightsDeadline}
     , m_shutdown(shutdownSettings(settings.stopGrace))
 {
+    countStoreEras(m_store, core.metrics());
     m_listener.onRequest([this](HttpListener::ExchangeId id, HttpIncomingRequest request) {
         startCall(id, std::move(request));
     });
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -1,5 +1,6 @@
 #include "main/sidecar/sidecarrole.h"
 
+#include "main/feeds/eracounter.h"
 #include "servers/fencingtoken.h"
 
 #include <algorithm>
@@ -59,6 +60,7 @@
     , m_quotaHolder(QuotaTolerance{settings.quotaOvershoot, settings.quotaSlack, settings.quotaWindow})
     , m_engineAddress(core.settings().engine)
 {
+    countStoreEras(m_store, core.metrics());
     m_links.onMessage([this](const MessageOrigin &origin, const wire::Body &body) {
         handleMessage(origin, body);
     });
--- a/tests/main/sidecarrole_test.cpp
+++ b/tests/main/sidecarrole_test.cpp
@@ -125,6 +125,11 @@
     REQUIRE(fixture.role.open());
     CHECK(fixture.loads(3));
     CHECK(fixture.engine.highestFence > earlierFence);
+    CHECK(fixture.core.metrics().counters().count("store eras") == 0);
+    fixture.store.copyTables();
+    fixture.store.restoreCopy();
+    CHECK(fixture.loads(4));
+    CHECK(fixture.core.metrics().counters().at("store eras") == 1);
 }
 
 TEST_CASE("[SidecarRole] A daemon whose token is lower than its engine has seen gets a new one")
