--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -456,3 +456,16 @@
     }
     CHECK(proxy.eventuallyResponds("/once/x", "second-key", 200));
 }
+
+TEST_CASE("[ProxyRole] A daemon that starts just after a restore does not accept a key whose withdrawal the store has lost", "[!mayfail]")
+{
+    ProxyFixture proxy(false);
+    proxy.store.put("op", "config", makeConfig(7, {"good-key"}));
+    proxy.store.copyTables();
+    proxy.store.restoreCopy();
+    // Before the copy was restored the key had been withdrawn; the operators have not written that again yet.
+    REQUIRE(runUntil(proxy.core.loop(), [&proxy]() {
+        return proxy.role.hasInitialState();
+    }));
+    CHECK(proxy.sendRequest("/once/x").head.status == 503);
+}
--- a/tests/servers/crashtracker_test.cpp
+++ b/tests/servers/crashtracker_test.cpp
@@ -133,35 +133,56 @@
     CHECK(findSeedWithUnblockedPart({{badPart, otherBadPart}, {badPart}, {otherBadPart}}) == 0);
 }
 
-TEST_CASE("[CrashTracker] Engines that end for other causes do not get sound requests blocked")
+namespace
 {
-    const std::uint64_t failingSeed = findFailingSeed(Seeds(40), [&](std::uint64_t seed) {
-        CrashSimulation fleet(seed, seed % 2 == 0 ? 3 : 33, engineCount);
-        fleet.endSignal = seed % 3 == 0 ? CrashSimulation::EndSignal::Silence : CrashSimulation::EndSignal::Reset;
-        Traffic traffic;
-        traffic.badInterval = Duration::zero();
-        play(fleet, traffic, std::chrono::seconds(3));
-        fleet.countSoundFrom = fleet.now();
-        play(fleet, traffic, std::chrono::seconds(30), [&]() {
-            if (fleet.scheduler.randomBool(0.02)) {
-                // A zone loses power.
-                for (std::size_t i = 0; i < engineCount; i += 3) {
-                    fleet.endEngine(i);
-                }
-            }
-            if (fleet.scheduler.randomBool(0.05)) {
-                fleet.endEngine(static_cast<std::size_t>(fleet.scheduler.randomInteger(0, engineCount - 1)));
-            }
-            if (fleet.scheduler.randomBool(0.05)) {
-                fleet.resetConnections(static_cast<std::size_t>(fleet.scheduler.randomInteger(0, engineCount - 1)));
-            }
-            if (fleet.scheduler.randomBool(0.005)) {
-                fleet.restartDaemon(fleet.randomDaemon());
+
+/** Plays engines that end for causes other than requests. Returns whether at most one of 100 sound requests was blocked. */
+bool admitsSoundRequests(std::uint64_t seed, int daemonCount)
+{
+    CrashSimulation fleet(seed, daemonCount, engineCount);
+    fleet.endSignal = seed % 3 == 0 ? CrashSimulation::EndSignal::Silence : CrashSimulation::EndSignal::Reset;
+    Traffic traffic;
+    traffic.badInterval = Duration::zero();
+    play(fleet, traffic, std::chrono::seconds(3));
+    fleet.countSoundFrom = fleet.now();
+    play(fleet, traffic, std::chrono::seconds(30), [&]() {
+        if (fleet.scheduler.randomBool(0.02)) {
+            // A zone loses power.
+            for (std::size_t i = 0; i < engineCount; i += 3) {
+                fleet.endEngine(i);
             }
-        });
-        return fleet.soundBlocked * 100 <= fleet.soundSent;
+        }
+        if (fleet.scheduler.randomBool(0.05)) {
+            fleet.endEngine(static_cast<std::size_t>(fleet.scheduler.randomInteger(0, engineCount - 1)));
+        }
+        if (fleet.scheduler.randomBool(0.05)) {
+            fleet.resetConnections(static_cast<std::size_t>(fleet.scheduler.randomInteger(0, engineCount - 1)));
+        }
+        if (fleet.scheduler.randomBool(0.005)) {
+            fleet.restartDaemon(fleet.randomDaemon());
+        }
     });
-    CHECK(failingSeed == 0);
+    return fleet.soundBlocked * 100 <= fleet.soundSent;
+}
+
+}
+
+TEST_CASE("[CrashTracker] Engines that end for other causes do not get sound requests blocked")
+{
+    CHECK(findFailingSeed(Seeds(40),
+                          [](std::uint64_t seed) {
+                              return admitsSoundRequests(seed, seed % 2 == 0 ? 3 : 33);
+                          })
+          == 0);
+}
+
+TEST_CASE("[CrashTracker] Engines that end for other causes do not get sound requests of 100 daemons blocked", "[!mayfail]")
+{
+    CHECK(findFailingSeed(Seeds(120),
+                          [](std::uint64_t seed) {
+                              return admitsSoundRequests(seed, 100);
+                          })
+          == 0);
 }
 
 TEST_CASE("[CrashTracker] Connections that are reset while their engine runs are no evidence")
@@ -258,6 +279,12 @@
     }
     CHECK(reporter.unwrittenRows().size() == 1);
     CHECK(other.unwrittenRows().empty());
+    // Without its reporter, another daemon writes it.
+    CrashTracker alone("entry-3");
+    alone.applyRow(row, start);
+    alone.mergeOlderRows({}, start);
+    alone.update(start + std::chrono::seconds(4));
+    CHECK(alone.unwrittenRows().size() == 1);
     other.applyRow(row, start + std::chrono::milliseconds(220));
     other.update(start + std::chrono::seconds(10));
     CHECK(other.unwrittenRows().empty());
