--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -182,6 +182,7 @@
     {
         m_tables = m_copiedTables;
         m_version = m_copiedVersion;
+        oldestFeedVersion = 0;
         ++m_era;
         for (const PendingFeed &feed : m_pendingFeeds) {
             m_listener.abort(feed.id);
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -105,12 +105,14 @@
                                    {"limits", nlohmann::json::object()},
                                    {"tenants", accounts}};
     m_configVersion += 1 + randomBelow(3);
-    m_platformStore.put("op", "config", config.dump());
+    m_newestConfig = config.dump();
+    m_platformStore.put("op", "config", m_newestConfig);
 }
 
 void SoakTest::publishEndpoint(std::size_t index, bool isReady)
 {
     Endpoint &endpoint = m_endpoints[index];
+    endpoint.isReady = isReady;
     if (endpoint.instanceId.empty()) {
         endpoint.instanceId = "i-" + std::to_string(index) + "-" + std::to_string(++endpoint.incarnation);
     }
@@ -238,12 +240,32 @@
     if (randomBelow(3) == 0) {
         m_platformStore.discardHistory();
     }
-    m_loop.timers().subscribeOnce(randomDuration(200, 5000), [this](TimePoint) {
+    const bool isRestored = m_hasStoreCopy && randomBelow(2) == 0;
+    if (!m_hasStoreCopy || randomBelow(2) == 0) {
+        m_platformStore.copyTables();
+        m_hasStoreCopy = true;
+    }
+    m_loop.timers().subscribeOnce(randomDuration(200, 5000), [this, isRestored](TimePoint) {
+        if (isRestored && !m_hasFaultPhaseEnded) {
+            restoreStore();
+        }
         m_platformStore.isUnavailable = false;
         m_platformStore.dropsRequests = false;
     });
 }
 
+void SoakTest::restoreStore()
+{
+    m_platformStore.restoreCopy();
+    // The operators and the endpoints write again what the copy lacks.
+    m_platformStore.put("op", "config", m_newestConfig);
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        if (!m_endpoints[i].instanceId.empty()) {
+            publishEndpoint(i, m_endpoints[i].isReady);
+        }
+    }
+}
+
 void SoakTest::changeConfig()
 {
     if (m_isSecondKeyValid && randomBelow(3) == 0) {
--- a/tests/soak/soaktest.h
+++ b/tests/soak/soaktest.h
@@ -41,6 +41,7 @@
         std::unique_ptr<HttpListener> listener;
         std::unique_ptr<FaultProxy> proxy;
         std::string instanceId;
+        bool isReady = true;
         int incarnation = 0;
     };
 
@@ -61,6 +62,8 @@
     std::vector<Daemon> m_daemons;
     std::mt19937_64 m_random;
     std::int64_t m_configVersion = 1;
+    std::string m_newestConfig;
+    bool m_hasStoreCopy = false;
     std::int64_t m_lastRequestId = 0;
     bool m_isSecondKeyValid = true;
     bool m_hasFaultPhaseEnded = false;
@@ -82,6 +85,8 @@
     void injectLinkFault(FaultProxy &proxy);
     void injectDaemonFault(Daemon &daemon);
     void injectStoreFault();
+    /** The store comes back from an older copy. */
+    void restoreStore();
     void changeConfig();
     void replaceEndpoint();
     void restartExitedDaemons();
