Log what the check of a lost attempt's endpoint found, and name the request of each lost attempt

The recorded lines can't relate the attempts of one request at several daemons, can't tell an attempt that is no evidence from one that was never checked, and don't show that ends count as one. Now: suspect in 'connection to endpoint lost', 'endpoint checked' with its result, and 'ends' beside 'crashes' in 'suspect blocked'. No decision changes.

--- a/drivers/crashrowjson.cpp
+++ b/drivers/crashrowjson.cpp
@@ -17,15 +17,6 @@
 constexpr std::string_view trialPrefix = "trial/";
 constexpr int suspectBase = 16;
 
-/** Suspects are written as text: numbers of 64 bits are not exact in all JSON implementations. */
-std::string suspectText(SuspectId suspect)
-{
-    std::string text(sizeof(SuspectId) * 2, '0');
-    const std::to_chars_result result = std::to_chars(text.data(), text.data() + text.size(), suspect, suspectBase);
-    text.resize(static_cast<std::size_t>(result.ptr - text.data()));
-    return text;
-}
-
 std::optional<SuspectId> parseSuspect(std::string_view text)
 {
     SuspectId suspect = 0;
--- a/main/proxy/crashguard.cpp
+++ b/main/proxy/crashguard.cpp
@@ -29,15 +29,6 @@
 constexpr int tooManyRequestsStatus = 429;
 constexpr int firstServerErrorStatus = 500;
 
-std::string hexText(SuspectId suspect)
-{
-    CrashRow row;
-    row.kind = CrashRow::Kind::Trial;
-    row.suspect = suspect;
-    const std::string key = crashRowKey(row);
-    return key.substr(key.find('/') + 1);
-}
-
 std::string joined(const std::set<std::string> &names)
 {
     std::string text;
@@ -149,7 +140,7 @@
             if (!reply.failure.has_value()) {
                 m_trialVersions[crashRowKey(row)] = reply.rows.version;
             }
-            m_log.write("crashes", isClaimed ? "trial claimed" : "trial not claimed", {{"suspect", hexText(row.suspect)}});
+            m_log.write("crashes", isClaimed ? "trial claimed" : "trial not claimed", {{"suspect", suspectText(row.suspect)}});
         }
         const auto found = m_claims.find(id);
         if (found == m_claims.end()) {
@@ -188,6 +179,7 @@
     const bool needsCheck = m_tracker.recordLost(start, suspects, Loop::now());
     if (needsCheck) {
         m_endpointCheck.start(parseSocketAddress(start.address), [this, start, isSilent](EndpointCheck::Result result) {
+            m_log.write("crashes", "endpoint checked", {{"endpoint", startName(start)}, {"result", EndpointCheck::resultName(result)}});
             if (result == EndpointCheck::Result::Refused || (isSilent && result == EndpointCheck::Result::NoAnswer)) {
                 m_tracker.recordEnded(start, Loop::now());
                 scheduleUpdate(m_tracker.nextUpdateAt());
@@ -281,15 +273,16 @@
         }
         const CrashAttribution::Verdict verdict = check({CrashSuspect{suspect, false, 0}});
         m_log.write("crashes", "suspect blocked",
-                    {{"suspect", hexText(suspect)},
+                    {{"suspect", suspectText(suspect)},
                      {"crashes", std::to_string(verdict.crashes)},
+                     {"ends", std::to_string(verdict.ends)},
                      {"lastCrashAgeMs", millisecondsText(verdict.lastCrashAge)},
                      {"reporters", joined(verdict.reporters)},
                      {"untilTrialMs", millisecondsText(verdict.untilTrial)}});
     }
     for (const SuspectId suspect : m_loggedBlocks) {
         if (current.count(suspect) == 0) {
-            m_log.write("crashes", "suspect released", {{"suspect", hexText(suspect)}});
+            m_log.write("crashes", "suspect released", {{"suspect", suspectText(suspect)}});
         }
     }
     m_loggedBlocks = current;
--- a/main/proxy/endpointcheck.cpp
+++ b/main/proxy/endpointcheck.cpp
@@ -25,6 +25,19 @@
     }
 }
 
+const char *EndpointCheck::resultName(Result result)
+{
+    switch (result) {
+    case Result::Accepted:
+        return "accepted";
+    case Result::Refused:
+        return "refused";
+    case Result::NoAnswer:
+        return "no answer";
+    }
+    return "";
+}
+
 void EndpointCheck::start(const SocketAddress &address, Handler handler)
 {
     const std::uint64_t id = ++m_lastId;
--- a/main/proxy/endpointcheck.h
+++ b/main/proxy/endpointcheck.h
@@ -42,6 +42,9 @@
     EndpointCheck(const EndpointCheck &) = delete;
     EndpointCheck &operator=(const EndpointCheck &) = delete;
 
+    /** The name of a result, for the log. */
+    static const char *resultName(Result result);
+
     /** Starts a check. The handler is always called asynchronously. */
     void start(const SocketAddress &address, Handler handler);
 };
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -560,6 +560,7 @@
                          {{"request", m_request.id},
                           {"endpoint", endpoint},
                           {"parts", sharedPartsText(m_request)},
+                          {"suspect", m_suspects.empty() ? "" : suspectText(m_suspects.front().id)},
                           {"evidence", evidence},
                           {"framing", framingName(m_relay.framing())},
                           {"sinceSentMs", millisecondsText(Loop::now() - m_sentAt)},
--- a/servers/crashattribution.cpp
+++ b/servers/crashattribution.cpp
@@ -303,6 +303,7 @@
         verdict.untilTrial = std::max(verdict.untilTrial, nextTrialAt(record, block->second) - now);
         if (verdict.blocked.empty()) {
             verdict.crashes = block->second.crashes;
+            verdict.ends = static_cast<int>(record.crashes.size());
             verdict.lastCrashAge = now - block->second.lastCrashAt;
             for (const std::pair<const std::string, std::int64_t> &stated : record.completions) {
                 verdict.reporters.insert(stated.first);
--- a/servers/crashattribution.h
+++ b/servers/crashattribution.h
@@ -77,6 +77,8 @@
 
         /** How many crashes count against the first of them, and the time since the last. */
         int crashes = 0;
+        /** How many endpoint starts ended in these crashes; ends at the same time count as one crash. */
+        int ends = 0;
         Duration lastCrashAge{};
         /** The daemons that reported these crashes. */
         std::set<std::string> reporters;
--- a/servers/crashrow.cpp
+++ b/servers/crashrow.cpp
@@ -7,14 +7,19 @@
 namespace citronspar
 {
 
+std::string suspectText(SuspectId suspect)
+{
+    std::array<char, 24> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, suspect);
+    return text.data();
+}
+
 std::string crashRowKey(const CrashRow &row)
 {
     if (row.kind == CrashRow::Kind::Report) {
         return "report/" + row.report.crash + "/" + row.report.reporter;
     }
-    std::array<char, 24> suspect{};
-    std::snprintf(suspect.data(), suspect.size(), "%016" PRIx64, row.suspect);
-    return (row.kind == CrashRow::Kind::Clearance ? "clearance/" : "trial/") + std::string(suspect.data());
+    return (row.kind == CrashRow::Kind::Clearance ? "clearance/" : "trial/") + suspectText(row.suspect);
 }
 
 }
--- a/servers/crashrow.h
+++ b/servers/crashrow.h
@@ -55,6 +55,9 @@
     int trialCount = 0;
 };
 
+/** The suspect in hexadecimal, as in the keys of rows. */
+std::string suspectText(SuspectId suspect);
+
 /** The key of a row in the table. A later row with the same key replaces it. */
 std::string crashRowKey(const CrashRow &row);
 
