Count ends of endpoints that follow a request's attempts in turn, although they are close together

Callers saw: a request under which three endpoints had ended reached more of them in the next wave. Cause: ends within 100 ms counted as one crash, as a loss of power ends many engines; but the attempts of one request end their endpoints in turn, each as long after the last as the request takes to crash (47 to 112 ms in the record). Now a report says when each suspect was sent, and a crash whose request was sent after the end before it counts by itself. Prompt parts keep the old rule, as many requests share them. Ruled out: dropping the rule for whole requests altogether (a request that is sent often is in flight at each endpoint of a service that loses power).

--- a/drivers/crashrowjson.cpp
+++ b/drivers/crashrowjson.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view clearancePrefix = "clearance/";
 constexpr std::string_view trialPrefix = "trial/";
 constexpr int suspectBase = 16;
+constexpr std::size_t sentAtIndex = 3;
 
 std::optional<SuspectId> parseSuspect(std::string_view text)
 {
@@ -25,7 +26,7 @@
     return isValid ? std::optional<SuspectId>(suspect) : std::nullopt;
 }
 
-std::optional<CrashReport> decodeReport(const json &document)
+std::optional<CrashReport> decodeReport(const json &document, Duration clockOffset)
 {
     CrashReport report;
     report.crash = document.at("crash").get<std::string>();
@@ -35,7 +36,11 @@
         if (!id.has_value()) {
             return std::nullopt;
         }
-        report.suspects.push_back(CrashSuspect{*id, entry.at(2).get<bool>(), entry.at(1).get<std::int64_t>()});
+        CrashSuspect suspect{*id, entry.at(2).get<bool>(), entry.at(1).get<std::int64_t>(), timeNever};
+        if (entry.size() > sentAtIndex) {
+            suspect.sentAt = TimePoint(Duration(entry.at(sentAtIndex).get<std::int64_t>()) + clockOffset);
+        }
+        report.suspects.push_back(suspect);
     }
     return report;
 }
@@ -55,7 +60,11 @@
     if (isReport) {
         json suspects = json::array();
         for (const CrashSuspect &suspect : row.report.suspects) {
-            suspects.push_back(json::array({suspectText(suspect.id), suspect.completions, suspect.isWholeRequest}));
+            json entry = json::array({suspectText(suspect.id), suspect.completions, suspect.isWholeRequest});
+            if (suspect.sentAt != timeNever) {
+                entry.push_back((suspect.sentAt.time_since_epoch() - clockOffset).count());
+            }
+            suspects.push_back(std::move(entry));
         }
         document["crash"] = row.report.crash;
         document["reporter"] = row.report.reporter;
@@ -86,7 +95,7 @@
             row.trialCount = isClearance ? 0 : document.at("trials").get<int>();
             return row;
         }
-        std::optional<CrashReport> report = decodeReport(document);
+        std::optional<CrashReport> report = decodeReport(document, clockOffset);
         if (!report.has_value()) {
             return std::nullopt;
         }
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -313,6 +313,9 @@
     m_isPromptDone = false;
     m_sentWeights = choice.weightsVersion;
     m_sentAt = Loop::now();
+    for (CrashSuspect &suspect : m_suspects) {
+        suspect.sentAt = m_sentAt;
+    }
     m_attemptTracker->recordSent();
     m_relay.beginAttempt();
     HttpCall call;
--- a/servers/crashattribution.cpp
+++ b/servers/crashattribution.cpp
@@ -61,8 +61,9 @@
         Record &record = m_records[suspect.id];
         record.isWholeRequest = suspect.isWholeRequest;
         record.completions[report.reporter] = suspect.completions;
-        const auto crash = record.crashes.emplace(report.crash, report.at).first;
-        crash->second = std::min(crash->second, report.at);
+        Crash &crash = record.crashes.emplace(report.crash, Crash{report.at, suspect.sentAt}).first->second;
+        crash.at = std::min(crash.at, report.at);
+        crash.sentAt = std::min(crash.sentAt, suspect.sentAt);
     }
 }
 
@@ -172,18 +173,23 @@
 
 std::vector<TimePoint> CrashAttribution::countedCrashes(const Record &record, const std::set<std::string> &explained) const
 {
-    std::vector<TimePoint> times;
-    for (const std::pair<const std::string, TimePoint> &crash : record.crashes) {
-        if (crash.second >= record.clearedAt && explained.count(crash.first) == 0) {
-            times.push_back(crash.second);
+    std::vector<Crash> crashes;
+    for (const std::pair<const std::string, Crash> &crash : record.crashes) {
+        if (crash.second.at >= record.clearedAt && explained.count(crash.first) == 0) {
+            crashes.push_back(crash.second);
         }
     }
-    std::sort(times.begin(), times.end());
+    std::sort(crashes.begin(), crashes.end(), [](const Crash &a, const Crash &b) {
+        return a.at < b.at;
+    });
     std::vector<TimePoint> counted;
-    for (const TimePoint time : times) {
-        if (counted.empty() || time - counted.back() > m_settings.simultaneous) {
-            counted.push_back(time);
+    TimePoint previousAt = timeNever;
+    for (const Crash &crash : crashes) {
+        const bool isInTurn = record.isWholeRequest && crash.sentAt != timeNever && crash.sentAt >= previousAt;
+        if (counted.empty() || isInTurn || crash.at - counted.back() > m_settings.simultaneous) {
+            counted.push_back(crash.at);
         }
+        previousAt = crash.at;
     }
     return counted;
 }
@@ -253,8 +259,8 @@
             Block &block = m_blocked[suspect];
             block.crashes = static_cast<int>(crashes.size());
             block.lastCrashAt = crashes.back();
-            for (const std::pair<const std::string, TimePoint> &crash : record.crashes) {
-                if (crash.second >= record.clearedAt) {
+            for (const std::pair<const std::string, Crash> &crash : record.crashes) {
+                if (crash.second.at >= record.clearedAt) {
                     explained.insert(crash.first);
                 }
             }
@@ -330,8 +336,8 @@
         return false;
     }
     const Record &record = found->second;
-    return std::any_of(record.crashes.begin(), record.crashes.end(), [&](const std::pair<const std::string, TimePoint> &crash) {
-        return crash.second >= record.clearedAt && crash.second < sentAt;
+    return std::any_of(record.crashes.begin(), record.crashes.end(), [&](const std::pair<const std::string, Crash> &crash) {
+        return crash.second.at >= record.clearedAt && crash.second.at < sentAt;
     });
 }
 
--- a/servers/crashattribution.h
+++ b/servers/crashattribution.h
@@ -40,7 +40,10 @@
          * may come in the same prompts.
          */
         int sharedCrashesToBlock = 5;
-        /** Engines that end within this time count as one crash: a loss of power ends many at once. */
+        /**
+         * Engines that end within this time count as one crash: a loss of power ends many at once. A whole request that was sent
+         * to an engine after the one before had ended is an exception, as its attempts end their engines in turn.
+         */
         Duration simultaneous = std::chrono::milliseconds(100);
         /**
          * How long a crash must be known before it blocks a suspect that was completed recently: reports of other
@@ -87,11 +90,18 @@
     };
 
 private:
+    struct Crash
+    {
+        TimePoint at{};
+        /** When the suspect was sent to the engine; timeNever if unknown. */
+        TimePoint sentAt = timeNever;
+    };
+
     struct Record
     {
         bool isWholeRequest = false;
-        /** The time of each crash, by the name of the crash. */
-        std::map<std::string, TimePoint> crashes;
+        /** By the name of the crash. */
+        std::map<std::string, Crash> crashes;
         /** The latest number of completions that each reporter has stated. */
         std::map<std::string, std::int64_t> completions;
         TimePoint clearedAt = timeNever;
@@ -126,7 +136,7 @@
     void dropOldRows(TimePoint now);
     /** The oldest row that does not count against a blocked suspect; the oldest of all if each does. */
     std::string leastUsefulKey() const;
-    /** The crashes that count against a suspect and are not in @p explained, without those that are simultaneous with an earlier one. */
+    /** The times of the crashes that count against a suspect and are not in @p explained, without those that are simultaneous with an earlier one. */
     std::vector<TimePoint> countedCrashes(const Record &record, const std::set<std::string> &explained) const;
     static std::int64_t completionsOf(const Record &record);
     /** The number of these crashes that may block the suspect now. */
--- a/servers/crashrow.h
+++ b/servers/crashrow.h
@@ -20,6 +20,8 @@
     bool isWholeRequest = false;
     /** How many requests with it the reporter has recently seen completed. */
     std::int64_t completions = 0;
+    /** When the attempt was sent that the engine had; timeNever if unknown. The earliest one if there were several. */
+    TimePoint sentAt = timeNever;
 };
 
 /** What one entry daemon had running on an engine when the engine ended. */
--- a/servers/crashtracker.cpp
+++ b/servers/crashtracker.cpp
@@ -37,13 +37,6 @@
 // A row of the table has 64 KiB, and callers choose the number of parts.
 constexpr std::size_t maxSuspectsPerReport = 1024;
 
-bool contains(const std::vector<CrashSuspect> &suspects, SuspectId id)
-{
-    return std::any_of(suspects.begin(), suspects.end(), [id](const CrashSuspect &suspect) {
-        return suspect.id == id;
-    });
-}
-
 }
 
 std::string startName(const EndpointStart &start)
@@ -112,8 +105,13 @@
         if (lost.suspects.size() >= maxSuspectsPerReport) {
             return;
         }
-        if (!contains(lost.suspects, suspect.id)) {
+        const auto known = std::find_if(lost.suspects.begin(), lost.suspects.end(), [&](const CrashSuspect &other) {
+            return other.id == suspect.id;
+        });
+        if (known == lost.suspects.end()) {
             lost.suspects.push_back(suspect);
+        } else {
+            known->sentAt = std::min(known->sentAt, suspect.sentAt);
         }
     }
 }
--- a/tests/fakes/crashsimulation.h
+++ b/tests/fakes/crashsimulation.h
@@ -345,6 +345,9 @@
         engine.attempts.emplace(number, request);
         const std::int64_t start = engine.startedMs;
         const TimePoint sentAt = now();
+        for (CrashSuspect &suspect : request->suspects) {
+            suspect.sentAt = sentAt;
+        }
         request->completesThisRun = request->isSound || (crashProbability < 1 && !scheduler.randomBool(crashProbability));
         if (request->completesThisRun) {
             scheduler.scheduleAfter(milliseconds(150, 1500), [this, number, index, start, request, sentAt]() {
