Notice the ends of plain endpoints that give no answer, are slow to stop listening or are listed without a time

Callers saw: a request that ends plain endpoints reached them again, as some of its ends were no evidence. Cause: an end counted only if one check, made at once, was refused, or if the list gave a later time of start. Now: an address that takes connections is checked once more after 0.5 s; one that has reset the attempt and gives no answer counts against the whole request, but not its parts, and the report is withdrawn if the address takes connections again; a start that is listed for the first time is the later one if times are missing; the list's starts end the attempts at plain services, too; an attempt that is given up without an answer after a second counts if its endpoint turns out to have ended; a response without a marked end doesn't clear a request at a plain service. Ruled out: no answer as proof of an end (a cut or frozen endpoint gives none either; its parts would be blocked). Open and listed: a request that crashes in half of its runs.

--- a/main/proxy/crashguard.cpp
+++ b/main/proxy/crashguard.cpp
@@ -166,33 +166,48 @@
 
 void CrashGuard::recordLost(const EndpointStart &start, const std::vector<CrashSuspect> &suspects)
 {
-    recordAttempt(start, suspects, false);
+    if (m_tracker.recordLost(start, suspects, Loop::now())) {
+        checkEndpoint(start);
+    }
+    scheduleUpdate(m_tracker.nextUpdateAt());
 }
 
-void CrashGuard::recordSilent(const EndpointStart &start, const std::vector<CrashSuspect> &suspects)
+void CrashGuard::recordUnanswered(const EndpointStart &start, const std::vector<CrashSuspect> &suspects)
 {
-    recordAttempt(start, suspects, true);
+    if (m_tracker.recordUnanswered(start, suspects, Loop::now())) {
+        checkEndpoint(start);
+    }
+    scheduleUpdate(m_tracker.nextUpdateAt());
 }
 
-void CrashGuard::recordAttempt(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, bool isSilent)
+void CrashGuard::recordSilent(const EndpointStart &start, const std::vector<CrashSuspect> &suspects)
 {
-    const bool needsCheck = m_tracker.recordLost(start, suspects, Loop::now());
-    if (needsCheck) {
-        m_endpointCheck.start(parseSocketAddress(start.address), [this, start, isSilent](EndpointCheck::Result result) {
-            m_log.write("crashes", "endpoint checked", {{"endpoint", startName(start)}, {"result", EndpointCheck::resultName(result)}});
-            if (result == EndpointCheck::Result::Refused || (isSilent && result == EndpointCheck::Result::NoAnswer)) {
-                m_tracker.recordEnded(start, Loop::now());
-                scheduleUpdate(m_tracker.nextUpdateAt());
-            }
-        });
+    if (m_tracker.recordUnanswered(start, suspects, Loop::now())) {
+        checkEndpoint(start, true);
     }
     scheduleUpdate(m_tracker.nextUpdateAt());
 }
 
-void CrashGuard::recordStarted(const std::string &address, std::int64_t startedMs)
+void CrashGuard::checkEndpoint(const EndpointStart &start, bool isSilent)
 {
-    m_tracker.recordStarted(address, startedMs, Loop::now());
-    scheduleUpdate(m_tracker.nextUpdateAt());
+    m_endpointCheck.start(parseSocketAddress(start.address), [this, start, isSilent](EndpointReachability reachability) {
+        m_log.write("crashes", "endpoint checked", {{"endpoint", startName(start)}, {"result", EndpointCheck::resultName(reachability)}});
+        if (isSilent && reachability == EndpointReachability::NoAnswer) {
+            m_tracker.recordEnded(start, Loop::now());
+        } else {
+            m_tracker.recordReachability(start, reachability, Loop::now());
+        }
+        scheduleUpdate(m_tracker.nextUpdateAt());
+    });
+}
+
+bool CrashGuard::recordStarted(const EndpointStart &start)
+{
+    const bool isNew = m_tracker.recordStarted(start, Loop::now());
+    if (isNew) {
+        scheduleUpdate(m_tracker.nextUpdateAt());
+    }
+    return isNew;
 }
 
 void CrashGuard::scheduleUpdate(TimePoint at)
@@ -210,6 +225,9 @@
 void CrashGuard::update()
 {
     m_tracker.update(Loop::now());
+    for (const EndpointStart &start : m_tracker.takeDueChecks(Loop::now())) {
+        checkEndpoint(start);
+    }
     writeRows();
     logBlocks();
     scheduleUpdate(m_tracker.nextUpdateAt());
--- a/main/proxy/crashguard.h
+++ b/main/proxy/crashguard.h
@@ -50,7 +50,8 @@
     void writeRows();
     void handleWritten(const std::vector<CrashRow> &rows, const platform::StoreReply &reply);
     void scheduleUpdate(TimePoint at);
-    void recordAttempt(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, bool isSilent);
+    /** @param isSilent whether the endpoint does not answer its endpoint daemon either */
+    void checkEndpoint(const EndpointStart &start, bool isSilent = false);
     void logBlocks();
 
 public:
@@ -81,8 +82,11 @@
      */
     void recordSilent(const EndpointStart &start, const std::vector<CrashSuspect> &suspects);
 
-    /** Records that an endpoint has started at @p address, by its start time in milliseconds since the epoch. */
-    void recordStarted(const std::string &address, std::int64_t startedMs);
+    /** Records that an attempt is given up without an answer, and finds out whether the endpoint has ended. */
+    void recordUnanswered(const EndpointStart &start, const std::vector<CrashSuspect> &suspects);
+
+    /** Records that an endpoint is listed or has reported its start. Returns whether the start was not known. */
+    bool recordStarted(const EndpointStart &start);
 };
 
 }
--- a/main/proxy/endpointcheck.cpp
+++ b/main/proxy/endpointcheck.cpp
@@ -25,14 +25,14 @@
     }
 }
 
-const char *EndpointCheck::resultName(Result result)
+const char *EndpointCheck::resultName(EndpointReachability result)
 {
     switch (result) {
-    case Result::Accepted:
+    case EndpointReachability::Accepts:
         return "accepted";
-    case Result::Refused:
+    case EndpointReachability::Refuses:
         return "refused";
-    case Result::NoAnswer:
+    case EndpointReachability::NoAnswer:
         return "no answer";
     }
     return "";
@@ -43,21 +43,21 @@
     const std::uint64_t id = ++m_lastId;
     TcpSocket::Handlers handlers;
     handlers.onConnected = [this, id]() {
-        finish(id, Result::Accepted);
+        finish(id, EndpointReachability::Accepts);
     };
     handlers.onEnd = [this, id](SocketCloseReason) {
-        finish(id, Result::Refused);
+        finish(id, EndpointReachability::Refuses);
     };
     Check &check = m_checks[id];
     check.handler = std::move(handler);
     check.socket = std::make_unique<TcpSocket>(m_loop, std::move(handlers));
     const bool isStarted = check.socket->connect(address);
     check.timer = m_loop.timers().subscribeOnce(isStarted ? answerTimeout : Duration::zero(), [this, id](TimePoint) {
-        finish(id, Result::NoAnswer);
+        finish(id, EndpointReachability::NoAnswer);
     });
 }
 
-void EndpointCheck::finish(std::uint64_t id, Result result)
+void EndpointCheck::finish(std::uint64_t id, EndpointReachability result)
 {
     const auto found = m_checks.find(id);
     if (found == m_checks.end()) {
--- a/main/proxy/endpointcheck.h
+++ b/main/proxy/endpointcheck.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "drivers/tcpsocket.h"
+#include "servers/crashtracker.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,12 +15,7 @@
 class EndpointCheck
 {
 public:
-    enum class Result {
-        Accepted,
-        Refused,
-        NoAnswer,
-    };
-    using Handler = std::function<void(Result result)>;
+    using Handler = std::function<void(EndpointReachability result)>;
 
 private:
     struct Check
@@ -33,7 +29,7 @@
     std::map<std::uint64_t, Check> m_checks;
     std::uint64_t m_lastId = 0;
 
-    void finish(std::uint64_t id, Result result);
+    void finish(std::uint64_t id, EndpointReachability result);
 
 public:
     explicit EndpointCheck(Loop &loop);
@@ -43,7 +39,7 @@
     EndpointCheck &operator=(const EndpointCheck &) = delete;
 
     /** The name of a result, for the log. */
-    static const char *resultName(Result result);
+    static const char *resultName(EndpointReachability result);
 
     /** Starts a check. The handler is always called asynchronously. */
     void start(const SocketAddress &address, Handler handler);
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -29,6 +29,9 @@
 
 constexpr Duration endpointConnectTimeout = std::chrono::milliseconds(400);
 
+// An attempt that is given up without an answer earlier says little about its endpoint.
+constexpr Duration minUnansweredTime = std::chrono::seconds(1);
+
 constexpr Duration misdirectedAnswerTime = std::chrono::milliseconds(300);
 
 // How long a reservation of an endpoint's limit may be used.
@@ -606,8 +609,8 @@
         send();
         return;
     }
-    if (m_isEngineService && !m_relay.isEndMarked()) {
-        // The engine may have ended, in which case the response is not complete.
+    if (!m_relay.isEndMarked()) {
+        // The endpoint may have ended, in which case the response is not complete.
         m_services.crashGuard.recordLost(m_endpointStart, m_suspects);
     } else if (m_relay.response().status < firstRedirectStatus) {
         m_services.crashGuard.recordCompleted(m_suspects, m_sentAt);
@@ -629,14 +632,24 @@
 {
     m_timeoutTimer = 0;
     cancelSearch();
+    recordUnanswered();
     m_services.pool.cancel(m_endpointCall);
     releaseEndpoint();
     fail(m_attemptTracker->isCertainlyNotRun() ? ErrorKind::NoEndpoint : ErrorKind::TimedOut);
 }
 
+void ProxyCall::recordUnanswered()
+{
+    const bool isWaiting = !m_endpoint.empty() && m_relay.response().status == 0;
+    if (isWaiting && Loop::now() - m_sentAt >= minUnansweredTime) {
+        m_services.crashGuard.recordUnanswered(m_endpointStart, m_suspects);
+    }
+}
+
 void ProxyCall::handleCallerDisconnect()
 {
     cancelSearch();
+    recordUnanswered();
     m_services.pool.cancel(m_endpointCall);
     releaseEndpoint();
     finish("caller gone");
@@ -658,10 +671,12 @@
     handleBroken();
 }
 
-void ProxyCall::handleEndpointStarted(const std::string &address, std::int64_t startedMs)
+void ProxyCall::handleEndpointStarted(const EndpointStart &start)
 {
-    const bool isEarlierStart
-        = m_endpointStart.address == address && m_endpointStart.startedMs != 0 && m_endpointStart.startedMs < startedMs;
+    const bool isTimeKnown = m_endpointStart.startedMs != 0 && start.startedMs != 0;
+    const bool isOtherStart
+        = isTimeKnown ? m_endpointStart.startedMs < start.startedMs : !start.id.empty() && m_endpointStart.id != start.id;
+    const bool isEarlierStart = m_endpointStart.address == start.address && isOtherStart;
     // A later attempt has reached the new incarnation, which states that it does not run it.
     const bool isOnItsWay = Loop::now() - m_sentAt < misdirectedAnswerTime;
     if (m_endpoint.empty() || !isEarlierStart || isOnItsWay) {
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -106,6 +106,8 @@
     void recordPromptDone();
     void retryOrFail(ErrorKind kind);
     void cancelSearch();
+    /** Records the attempt, if its endpoint has not answered, as one that may have ended it. */
+    void recordUnanswered();
     void handleTimeout();
     void finish(const char *outcome);
     /** @param expectedWait when the request is expected to be admitted if it returns; zero if unknown */
@@ -131,7 +133,7 @@
     void abandonOldWeights(const std::string &model, std::int64_t version);
 
     /** Ends the current attempt as broken if its endpoint has started again since, as the earlier incarnation can't answer any more. */
-    void handleEndpointStarted(const std::string &address, std::int64_t startedMs);
+    void handleEndpointStarted(const EndpointStart &start);
 
     /** Its endpoint no longer answers its endpoint daemon. The attempt goes on, and counts as evidence if the endpoint has ended. */
     void handleEndpointSilent(const std::string &address);
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -139,11 +139,17 @@
     m_endpointFeed.onChange([this]() {
         startHeldRequests();
         for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpointFeed.directory().all()) {
-            m_crashGuard.recordStarted(entry.second.address, entry.second.startedMs);
+            const ListedEndpoint &endpoint = entry.second;
+            const EndpointStart start{endpoint.id, endpoint.address, endpoint.startedMs};
+            if (m_crashGuard.recordStarted(start)) {
+                handleEndpointStarted(start);
+            }
         }
     });
     m_engineLinks.onEngineStarted([this](const std::string &address, std::int64_t startedMs) {
-        handleEndpointStarted(address, startedMs);
+        const EndpointStart start{std::string(), address, startedMs};
+        m_crashGuard.recordStarted(start);
+        handleEndpointStarted(start);
     });
     m_engineLinks.onEngineSilent([this](const std::string &address) {
         for (ProxyCall *call : currentCalls()) {
@@ -169,11 +175,10 @@
     }
 }
 
-void ProxyRole::handleEndpointStarted(const std::string &address, std::int64_t startedMs)
+void ProxyRole::handleEndpointStarted(const EndpointStart &start)
 {
-    m_crashGuard.recordStarted(address, startedMs);
     for (ProxyCall *call : currentCalls()) {
-        call->handleEndpointStarted(address, startedMs);
+        call->handleEndpointStarted(start);
     }
 }
 
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -55,7 +55,7 @@
     void removeCall(HttpListener::ExchangeId id);
     void scheduleWeightsCutoff(const std::string &model, std::int64_t version);
     void abandonOldWeights(const std::string &model, std::int64_t version);
-    void handleEndpointStarted(const std::string &address, std::int64_t startedMs);
+    void handleEndpointStarted(const EndpointStart &start);
     /** A call that ends during iteration is removed from the map at once and destroyed in the next loop iteration. */
     std::vector<ProxyCall *> currentCalls() const;
     void handleReadinessRequest(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
--- a/servers/crashtracker.cpp
+++ b/servers/crashtracker.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -16,7 +17,15 @@
 constexpr Duration gatherTime = std::chrono::milliseconds(10);
 
 // An endpoint that has crashed is listed again, or starts anew, within some seconds.
-constexpr Duration lostLifetime = std::chrono::seconds(10);
+constexpr Duration lostLifetime = std::chrono::seconds(30);
+
+// A process that crashes can take connections for some time after it has reset the ones that it had.
+constexpr Duration recheckDelay = std::chrono::milliseconds(500);
+constexpr Duration unreachableCheckInterval = std::chrono::seconds(2);
+
+// Starts at one address that are told apart.
+constexpr std::size_t maxStartsPerAddress = 8;
+constexpr std::size_t maxAddresses = 20000;
 
 constexpr Duration minCheckInterval = std::chrono::milliseconds(250);
 
@@ -77,11 +86,23 @@
     m_clearances.emplace(suspect, now + Duration(static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(clearanceSpread.count()))));
 }
 
-bool CrashTracker::recordLost(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, TimePoint now)
+void CrashTracker::removeOldLosses(TimePoint now)
 {
     for (auto it = m_lost.begin(); it != m_lost.end();) {
         it = now - it->second.at > lostLifetime ? m_lost.erase(it) : std::next(it);
     }
+}
+
+bool CrashTracker::recordLost(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, TimePoint now)
+{
+    const bool isCheckDue = recordUnanswered(start, suspects, now);
+    m_lost.at(startName(start)).isTimeout = false;
+    return isCheckDue;
+}
+
+bool CrashTracker::recordUnanswered(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, TimePoint now)
+{
+    removeOldLosses(now);
     const std::pair<std::map<std::string, LostAttempts>::iterator, bool> inserted = m_lost.emplace(startName(start), LostAttempts());
     LostAttempts &lost = inserted.first->second;
     if (inserted.second) {
@@ -89,8 +110,8 @@
         lost.at = now;
     }
     addSuspects(lost, suspects);
-    if (lost.hasEnded) {
-        handleEnded(lost, now);
+    if (lost.hasEnded || lost.isUnreachable) {
+        scheduleReport(lost, now);
     }
     if (lost.hasEnded || (lost.checkedAt != timeNever && now - lost.checkedAt < minCheckInterval)) {
         return false;
@@ -116,14 +137,20 @@
     }
 }
 
-void CrashTracker::handleEnded(LostAttempts &lost, TimePoint now)
+void CrashTracker::scheduleReport(LostAttempts &lost, TimePoint now)
 {
-    lost.hasEnded = true;
     if (lost.reportDueAt == timeNever) {
         lost.reportDueAt = now + gatherTime;
     }
 }
 
+void CrashTracker::handleEnded(LostAttempts &lost, TimePoint now)
+{
+    lost.hasEnded = true;
+    lost.recheckAt = timeNever;
+    scheduleReport(lost, now);
+}
+
 void CrashTracker::recordEnded(const EndpointStart &start, TimePoint now)
 {
     const auto found = m_lost.find(startName(start));
@@ -132,14 +159,81 @@
     }
 }
 
-void CrashTracker::recordStarted(const std::string &address, std::int64_t startedMs, TimePoint now)
+void CrashTracker::recordReachability(const EndpointStart &start, EndpointReachability reachability, TimePoint now)
+{
+    const auto found = m_lost.find(startName(start));
+    if (found == m_lost.end() || found->second.hasEnded) {
+        return;
+    }
+    LostAttempts &lost = found->second;
+    if (reachability == EndpointReachability::Refuses) {
+        recordEnded(start, now);
+        return;
+    }
+    if (now - lost.at < recheckDelay) {
+        lost.recheckAt = now + recheckDelay;
+    }
+    const bool wasUnreachable = lost.isUnreachable;
+    lost.isUnreachable = reachability == EndpointReachability::NoAnswer && !lost.isTimeout;
+    if (lost.isUnreachable) {
+        lost.recheckAt = now + unreachableCheckInterval;
+    }
+    if (lost.isUnreachable && !wasUnreachable) {
+        scheduleReport(lost, now);
+    } else if (wasUnreachable && !lost.isUnreachable) {
+        retractReport(found->first);
+    }
+}
+
+void CrashTracker::retractReport(const std::string &crash)
+{
+    CrashRow row;
+    row.report.crash = crash;
+    row.report.reporter = m_daemon;
+    const std::string key = crashRowKey(row);
+    m_attribution.remove(key);
+    m_unwritten.erase(key);
+    m_obsoleteKeys.push_back(key);
+}
+
+std::vector<EndpointStart> CrashTracker::takeDueChecks(TimePoint now)
 {
+    std::vector<EndpointStart> due;
     for (std::pair<const std::string, LostAttempts> &entry : m_lost) {
         LostAttempts &lost = entry.second;
-        if (!lost.hasEnded && lost.start.address == address && lost.start.startedMs != 0 && lost.start.startedMs < startedMs) {
+        if (lost.recheckAt != timeNever && lost.recheckAt <= now) {
+            lost.recheckAt = timeNever;
+            lost.checkedAt = now;
+            due.push_back(lost.start);
+        }
+    }
+    return due;
+}
+
+bool CrashTracker::recordStarted(const EndpointStart &start, TimePoint now)
+{
+    const std::string name = startName(start);
+    if (m_startsAtAddress.size() > maxAddresses) {
+        m_startsAtAddress.erase(m_startsAtAddress.begin());
+    }
+    std::vector<std::string> &known = m_startsAtAddress[start.address];
+    if (std::find(known.begin(), known.end(), name) != known.end()) {
+        return false;
+    }
+    known.push_back(name);
+    if (known.size() > maxStartsPerAddress) {
+        known.erase(known.begin());
+    }
+    for (std::pair<const std::string, LostAttempts> &entry : m_lost) {
+        LostAttempts &lost = entry.second;
+        const bool isTimeKnown = lost.start.startedMs != 0 && start.startedMs != 0;
+        // Without the times, a start that is listed for the first time after the attempt was sent is the later one.
+        const bool isLater = isTimeKnown ? lost.start.startedMs < start.startedMs : !start.id.empty() && lost.start.id != start.id;
+        if (!lost.hasEnded && lost.start.address == start.address && isLater) {
             handleEnded(lost, now);
         }
     }
+    return true;
 }
 
 void CrashTracker::update(TimePoint now)
@@ -153,8 +247,8 @@
 {
     TimePoint next = TimePoint::max();
     for (const std::pair<const std::string, LostAttempts> &entry : m_lost) {
-        if (entry.second.reportDueAt != timeNever) {
-            next = std::min(next, entry.second.reportDueAt);
+        for (const TimePoint due : {entry.second.reportDueAt, entry.second.recheckAt}) {
+            next = due == timeNever ? next : std::min(next, due);
         }
     }
     for (const std::pair<const SuspectId, TimePoint> &clearance : m_clearances) {
@@ -175,7 +269,10 @@
         }
         lost.reportDueAt = timeNever;
         CrashRow row;
-        row.report = CrashReport{entry.first, m_daemon, lost.at, lost.suspects};
+        row.report = CrashReport{entry.first, m_daemon, lost.at, {}};
+        std::copy_if(lost.suspects.begin(), lost.suspects.end(), std::back_inserter(row.report.suspects), [&](const CrashSuspect &suspect) {
+            return lost.hasEnded || suspect.isWholeRequest;
+        });
         for (CrashSuspect &suspect : row.report.suspects) {
             suspect.completions = m_history.completions(suspect.id);
         }
--- a/servers/crashtracker.h
+++ b/servers/crashtracker.h
@@ -21,12 +21,25 @@
     std::int64_t startedMs = 0;
 };
 
+/** What a connection without a request, opened after an attempt was lost, shows of its endpoint. */
+enum class EndpointReachability {
+    /** The address takes connections, so the endpoint may be running. */
+    Accepts,
+    /** Nobody listens at the address, so the endpoint has ended. */
+    Refuses,
+    /** The endpoint has ended, or it can't be reached. */
+    NoAnswer,
+};
+
 /** The name of this start in messages and rows, for example in CrashReport::crash. */
 std::string startName(const EndpointStart &start);
 
 /**
  * What one entry daemon knows about crashes. An attempt whose connection is lost
  * counts as evidence only if the endpoint has ended: resets and timeouts do not.
+ * An address that gives no answer after it has reset the connection counts against
+ * whole requests, as long as the endpoint is not reached again: sound ones are hardly
+ * ever lost that way at several endpoints, while parts are in many requests.
  * Turns what the daemon sees into rows for the table that the daemons share, and
  * evaluates the rows of all.
  */
@@ -39,8 +52,14 @@
         TimePoint at{};
         std::vector<CrashSuspect> suspects;
         bool hasEnded = false;
+        /** The address has given no answer since. */
+        bool isUnreachable = false;
+        /** An attempt is given up without an answer, so that no answer to a connection is no evidence. */
+        bool isTimeout = true;
         /** When it was last found out whether the endpoint has ended. */
         TimePoint checkedAt = timeNever;
+        /** When it is to be found out once more; timeNever if not. */
+        TimePoint recheckAt = timeNever;
         /** When the report is due; timeNever if all attempts have been reported. */
         TimePoint reportDueAt = timeNever;
     };
@@ -50,6 +69,8 @@
     CompletionHistory m_history;
     /** By the name of the crash. */
     std::map<std::string, LostAttempts> m_lost;
+    /** The starts that were listed at each address, the latest last. */
+    std::map<std::string, std::vector<std::string>> m_startsAtAddress;
     /** Suspects to be cleared, and when. */
     std::map<SuspectId, TimePoint> m_clearances;
     /** Rows that have not been written yet, by key. */
@@ -63,6 +84,9 @@
 
     void addSuspects(LostAttempts &lost, const std::vector<CrashSuspect> &suspects);
     void handleEnded(LostAttempts &lost, TimePoint now);
+    void scheduleReport(LostAttempts &lost, TimePoint now);
+    void retractReport(const std::string &crash);
+    void removeOldLosses(TimePoint now);
     void scheduleClearance(SuspectId suspect, TimePoint now);
     void reportCrashes(TimePoint now);
     void rewriteRows(TimePoint now);
@@ -85,11 +109,23 @@
     /** Records that the connection of an attempt was lost. Returns whether it has to be found out if the endpoint has ended. */
     bool recordLost(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, TimePoint now);
 
-    /** Records that the endpoint has ended: connections to its address are refused. */
+    /** Records that an attempt is given up without an answer. Returns whether it has to be found out if the endpoint has ended. */
+    bool recordUnanswered(const EndpointStart &start, const std::vector<CrashSuspect> &suspects, TimePoint now);
+
+    /** Records that the endpoint has ended. */
     void recordEnded(const EndpointStart &start, TimePoint now);
 
-    /** Records that an endpoint has started at @p address; earlier ones there have ended. */
-    void recordStarted(const std::string &address, std::int64_t startedMs, TimePoint now);
+    /** Records what a connection to the address of a lost attempt showed. */
+    void recordReachability(const EndpointStart &start, EndpointReachability reachability, TimePoint now);
+
+    /** The endpoints for which it has to be found out once more whether they have ended. */
+    std::vector<EndpointStart> takeDueChecks(TimePoint now);
+
+    /**
+     * Records that @p start is listed; earlier starts at its address have ended.
+     * @return whether it was not known
+     */
+    bool recordStarted(const EndpointStart &start, TimePoint now);
 
     /** Computes the rows that are due. */
     void update(TimePoint now);
--- a/tests/fakes/crashsimulation.h
+++ b/tests/fakes/crashsimulation.h
@@ -290,7 +290,7 @@
             const int incarnation = daemons[i].incarnation;
             scheduler.scheduleAfter(milliseconds(5, 30), [this, i, start, incarnation]() {
                 if (daemons[i].incarnation == incarnation && !daemons[i].isCut && !daemons[i].isFrozen) {
-                    daemons[i].tracker->recordStarted(start.address, start.startedMs, now());
+                    daemons[i].tracker->recordStarted(start, now());
                     scheduleUpdate(static_cast<int>(i));
                 }
             });
@@ -408,13 +408,14 @@
         if (daemon.isFrozen) {
             return;
         }
-        const bool isChecked = daemon.tracker->recordLost(start, request->suspects, now());
-        if (isChecked && endSignal != EndSignal::ResetThenSilence) {
+        if (daemon.tracker->recordLost(start, request->suspects, now())) {
             const int incarnation = daemon.incarnation;
-            scheduler.scheduleAfter(milliseconds(1, 3), [this, number, start, incarnation]() {
+            const bool isSilent = endSignal == EndSignal::ResetThenSilence;
+            scheduler.scheduleAfter(isSilent ? milliseconds(300, 300) : milliseconds(1, 3), [this, number, start, incarnation, isSilent]() {
                 Daemon &checking = daemons[static_cast<std::size_t>(number)];
                 if (checking.incarnation == incarnation) {
-                    checking.tracker->recordEnded(start, now());
+                    checking.tracker->recordReachability(start, isSilent ? EndpointReachability::NoAnswer : EndpointReachability::Refuses,
+                                                         now());
                     scheduleUpdate(number);
                 }
             });
--- a/tests/servers/crashingrequest_test.cpp
+++ b/tests/servers/crashingrequest_test.cpp
@@ -238,3 +238,63 @@
     });
     CHECK(failingSeed == 0);
 }
+
+namespace
+{
+
+const TimePoint start{std::chrono::seconds(1000)};
+const EndpointStart endpoint{"endpoint-1", "10.0.0.1:80", 0};
+constexpr SuspectId part = 1;
+
+std::vector<CrashSuspect> suspects()
+{
+    return {CrashSuspect{crashingRequest, true, 0, start}, CrashSuspect{part, false, 0, start}};
+}
+
+std::size_t reportedSuspects(CrashTracker &tracker, TimePoint now)
+{
+    tracker.update(now);
+    return tracker.unwrittenRows().empty() ? 0 : tracker.unwrittenRows().begin()->second.report.suspects.size();
+}
+
+}
+
+TEST_CASE("[CrashTracker] An address that gives no answer after a reset counts against the whole request, until it takes connections again")
+{
+    CrashTracker tracker("entry-1");
+    REQUIRE(tracker.recordLost(endpoint, suspects(), start));
+    tracker.recordReachability(endpoint, EndpointReachability::NoAnswer, start + std::chrono::milliseconds(300));
+    CHECK(reportedSuspects(tracker, start + std::chrono::milliseconds(400)) == 1);
+    CHECK(tracker.takeDueChecks(start + std::chrono::seconds(1)).empty());
+    CHECK(tracker.takeDueChecks(start + std::chrono::seconds(3)).size() == 1);
+    tracker.recordReachability(endpoint, EndpointReachability::Accepts, start + std::chrono::seconds(3));
+    CHECK(reportedSuspects(tracker, start + std::chrono::seconds(4)) == 0);
+    CHECK(tracker.takeDroppedKeys(start + std::chrono::seconds(4)).size() == 1);
+}
+
+TEST_CASE("[CrashTracker] An endpoint that takes connections shortly after it has lost an attempt is checked once more")
+{
+    CrashTracker tracker("entry-1");
+    REQUIRE(tracker.recordLost(endpoint, suspects(), start));
+    tracker.recordReachability(endpoint, EndpointReachability::Accepts, start + std::chrono::milliseconds(2));
+    CHECK(reportedSuspects(tracker, start + std::chrono::milliseconds(100)) == 0);
+    CHECK(tracker.nextUpdateAt() == start + std::chrono::milliseconds(502));
+    REQUIRE(tracker.takeDueChecks(start + std::chrono::milliseconds(502)).size() == 1);
+    tracker.recordReachability(endpoint, EndpointReachability::Refuses, start + std::chrono::milliseconds(503));
+    CHECK(reportedSuspects(tracker, start + std::chrono::milliseconds(600)) == 2);
+}
+
+TEST_CASE("[CrashTracker] An attempt without an answer is evidence only if its endpoint has ended")
+{
+    CrashTracker tracker("entry-1");
+    tracker.recordStarted(endpoint, start);
+    REQUIRE(tracker.recordUnanswered(endpoint, suspects(), start));
+    tracker.recordReachability(endpoint, EndpointReachability::NoAnswer, start + std::chrono::milliseconds(300));
+    CHECK(reportedSuspects(tracker, start + std::chrono::milliseconds(400)) == 0);
+    // The entry that was listed when the attempt was sent is no later start, and neither is one at another address.
+    CHECK_FALSE(tracker.recordStarted(endpoint, start + std::chrono::seconds(1)));
+    CHECK(tracker.recordStarted(EndpointStart{"endpoint-2", "10.0.0.2:80", 0}, start + std::chrono::seconds(1)));
+    CHECK(reportedSuspects(tracker, start + std::chrono::seconds(2)) == 0);
+    CHECK(tracker.recordStarted(EndpointStart{"endpoint-3", "10.0.0.1:80", 0}, start + std::chrono::seconds(3)));
+    CHECK(reportedSuspects(tracker, start + std::chrono::seconds(4)) == 2);
+}
