--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -140,7 +140,7 @@
         fail(*refusal);
         return;
     }
-    m_suspects = makeSuspects(m_request, m_incoming, m_account == nullptr ? std::string() : m_account->name);
+    m_suspects = makeSuspects(m_request, m_incoming, callerName());
     if (failIfBlocked()) {
         return;
     }
@@ -159,6 +159,14 @@
     acquireQuota();
 }
 
+std::string ProxyCall::callerName() const
+{
+    // Public routes don't need the key, but a caller that sends one stays the same when a route becomes public.
+    const TrafficAccount *keyHolder
+        = m_account == nullptr && m_request.key.has_value() ? m_config->findAccountByKey(*m_request.key) : m_account;
+    return keyHolder == nullptr ? std::string() : keyHolder->name;
+}
+
 void ProxyCall::acquireQuota()
 {
     if (m_account == nullptr) {
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -71,6 +71,8 @@
 
     EndpointPlacement &placement();
     std::optional<ErrorKind> admit();
+    /** The client account that the key belongs to; empty without a known key. */
+    std::string callerName() const;
     void acquireQuota();
     void send();
     bool isKeyStillValid() const;
--- a/tests/fakes/crashfleet.h
+++ b/tests/fakes/crashfleet.h
@@ -46,10 +46,11 @@
     return settings;
 }
 
-inline std::string configText()
+/** @param isPlainPublic whether requests without a prompt need no key */
+inline std::string configText(int version = 1, bool isPlainPublic = true)
 {
     const nlohmann::json config
-        = {{"version", 1},
+        = {{"version", version},
            {"routes",
             {{{"name", "model"},
               {"host", "h"},
@@ -70,10 +71,10 @@
               {"targetLatencyMs", 2000},
               {"service", "plain"},
               {"maxAttempts", 2},
-              {"public", true}}}},
+              {"public", isPlainPublic}}}},
            {"services", {{{"name", "engines"}, {"engine", {{"kvTokenBytes", 1000}, {"kvCapacityTokens", 100000}}}}, {{"name", "plain"}}}},
            {"limits", nlohmann::json::object()},
-           {"tenants", nlohmann::json::array()}};
+           {"tenants", {{{"name", "mine"}, {"apiKeys", {"key"}}, {"unit", "tokens"}, {"plainTokens", 1}}}}};
     return config.dump();
 }
 
@@ -253,6 +254,7 @@
         call.head.method = "POST";
         call.head.target = target;
         call.head.set("Host", "h");
+        call.head.set("Authorization", "Bearer key");
         call.head.set("Citronspar-Request-Id", "r" + std::to_string(++requestCount));
         return call;
     }
--- a/tests/main/crashingrequests_test.cpp
+++ b/tests/main/crashingrequests_test.cpp
@@ -60,3 +60,18 @@
     CHECK(fleet.crashCount <= 4);
     CHECK(fleet.wait(fleet.sendPlain(0, "sound")).status == 200);
 }
+
+TEST_CASE("[CrashingRequests] A request that ends endpoints is known again after its route has come to need a key")
+{
+    FleetOptions options;
+    options.service = "plain";
+    CrashFixture fleet(options);
+    fleet.wait(fleet.sendPlain(0, "bad"));
+    REQUIRE(fleet.crashCount == 2);
+    fleet.store->put("op", "config", configText(2, false));
+    fleet.runFor(std::chrono::milliseconds(300));
+    fleet.wait(fleet.sendPlain(1, "bad"));
+    CHECK(fleet.wait(fleet.sendPlain(2, "bad")).status == 503);
+    // The second attempt of the second request is sent before the end of the third endpoint is known.
+    CHECK(fleet.crashCount <= 4);
+}
