--- a/main/feeds/endpointfeed.cpp
+++ b/main/feeds/endpointfeed.cpp
@@ -99,6 +99,7 @@
                      {"service", endpoint->service},
                      {"address", endpoint->address},
                      {"state", endpoint->isDraining ? "draining" : "ready"},
+                     {"software", endpoint->softwareVersion},
                      {"weights", std::to_string(endpoint->weightsVersion)}});
         m_directory.put(std::move(*endpoint));
     }
--- a/servers/endpointdirectory.h
+++ b/servers/endpointdirectory.h
@@ -27,6 +27,8 @@
     /** The weights version of the endpoint's first model; 0 if it has no model. */
     std::int64_t weightsVersion = 0;
     std::string model;
+    /** The version of the endpoint's software; empty if not reported. What two versions write into one stream does not fit together. */
+    std::string softwareVersion;
 };
 
 /**
