Send nothing to an endpoint that says that it leaves, or that asks for a wait, until it has started again or the wait is over

What callers and endpoints saw: requests went on to an endpoint whose answers say Server-Leaving, until the list said so, and to one that had answered 503 with Retry-After. Both are read from each answer to a request now, for the start that gave it, and hold whatever the list says and whatever it answers later; checked again before each send. If all endpoints of a service ask for a wait, callers are refused at once with the shortest. Not built: the same from reports of the engines to their endpoint daemons, from interim responses, and shared between daemons (docs/DESIGN.md).

--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -59,6 +59,30 @@
     m_softwareVersion = softwareVersion;
 }
 
+bool EndpointSearch::isOfVersion(const ListedEndpoint &endpoint) const
+{
+    return !m_softwareVersion.has_value() || endpoint.softwareVersion == *m_softwareVersion;
+}
+
+bool EndpointSearch::isCandidate(const ListedEndpoint &endpoint) const
+{
+    const std::string start = startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs});
+    return isOfVersion(endpoint) && m_services.endpointSignals.isAvailable(start, Loop::now());
+}
+
+std::optional<Duration> EndpointSearch::shortestWait() const
+{
+    std::optional<Duration> shortest;
+    for (const ListedEndpoint *endpoint : m_services.endpointFeed.directory().available(m_criteria.service)) {
+        const std::string start = startName(EndpointStart{endpoint->id, endpoint->address, endpoint->startedMs});
+        const std::optional<Duration> wait = m_services.endpointSignals.remainingWait(start, Loop::now());
+        if (wait.has_value() && isOfVersion(*endpoint)) {
+            shortest = std::min(shortest.value_or(*wait), *wait);
+        }
+    }
+    return shortest;
+}
+
 std::vector<EndpointPlacement::Choice> EndpointSearch::rank() const
 {
     const TimePoint now = Loop::now();
@@ -66,7 +90,7 @@
     std::string listedModel;
     for (const ListedEndpoint *endpoint : m_services.endpointFeed.directory().available(m_criteria.service)) {
         listedModel = endpoint->model;
-        if (!m_softwareVersion.has_value() || endpoint->softwareVersion == *m_softwareVersion) {
+        if (isCandidate(*endpoint)) {
             candidates.push_back(EndpointPlacement::Candidate{endpoint->id, endpoint->weightsVersion});
         }
     }
--- a/main/proxy/endpointsearch.h
+++ b/main/proxy/endpointsearch.h
@@ -48,6 +48,9 @@
     std::int64_t m_saltedPrefix = 0;
 
     EndpointPlacement &placement() const;
+    bool isOfVersion(const ListedEndpoint &endpoint) const;
+    /** Whether the endpoint may get the request, whatever its load. */
+    bool isCandidate(const ListedEndpoint &endpoint) const;
     std::vector<EndpointPlacement::Choice> rank() const;
     void search();
     void probe(const std::vector<EndpointPlacement::Choice> &ranked);
@@ -72,6 +75,8 @@
     void start(const std::vector<std::string> &excluded, Handler handler);
     /** Only endpoints with this software version are selected from now on. */
     void requireVersion(const std::string &softwareVersion);
+    /** The shortest time for which an endpoint of the service still wants no request; nullopt if none has asked for a wait. */
+    std::optional<Duration> shortestWait() const;
     /** Cancels a running search; its handler is not called. */
     void cancel();
 
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -285,6 +285,8 @@
             sendTo(*choice);
         } else if (m_limitWait.has_value()) {
             fail(ErrorKind::Overloaded, *m_limitWait);
+        } else if (m_endpointSearch->shortestWait().has_value()) {
+            fail(ErrorKind::Overloaded, *m_endpointSearch->shortestWait());
         } else if (isTakeUp()) {
             fail(ErrorKind::CannotResume);
         } else {
@@ -344,6 +346,10 @@
         return;
     }
     const ListedEndpoint *endpoint = m_services.endpointFeed.directory().find(choice.id);
+    if (!isStillAvailable(*endpoint)) {
+        send();
+        return;
+    }
     if (deferUntilAllowed(choice, *endpoint)) {
         return;
     }
@@ -377,6 +383,7 @@
     handlers.onHead = [this](const HttpHead &head, HttpBodyFraming framing, std::int64_t length) {
         m_relay.handleHead(*m_route, head, framing, length);
         recordStatedLimit();
+        recordSignals();
     };
     handlers.onData = [this](std::string_view data) {
         handleData(data);
@@ -535,6 +542,34 @@
     }
 }
 
+void ProxyCall::recordSignals()
+{
+    const platform::EndpointResponse &response = m_relay.response();
+    // Another endpoint at the address speaks for itself.
+    if (response.instance.empty() ? response.isMisdirected : response.instance != m_endpointStart.id) {
+        return;
+    }
+    const std::string start = startName(m_endpointStart);
+    if (response.isLeaving && m_services.endpointSignals.recordLeaving(start, Loop::now())) {
+        m_services.log.write("endpoints", "endpoint leaves", {{"endpoint", start}, {"status", std::to_string(response.status)}});
+        m_services.metrics.increment("endpoints leaving");
+    }
+    if (response.wait.has_value()) {
+        m_services.endpointSignals.recordWait(start, *response.wait, Loop::now());
+        m_services.log.write("endpoints", "endpoint asks for a wait", {{"endpoint", start}, {"waitMs", millisecondsText(*response.wait)}});
+        m_services.metrics.increment("endpoint waits");
+    }
+    if (response.isWaitMalformed) {
+        m_services.log.write("endpoints", "malformed wait", {{"endpoint", start}});
+    }
+}
+
+bool ProxyCall::isStillAvailable(const ListedEndpoint &endpoint) const
+{
+    const std::string start = startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs});
+    return m_services.endpointSignals.isAvailable(start, Loop::now());
+}
+
 void ProxyCall::logBlocked(const CrashAttribution::Verdict &verdict)
 {
     std::string blocked;
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -105,6 +105,10 @@
     void handleEndpointReservation(const EndpointPlacement::Choice &choice, const std::string &start, QuotaClient::Outcome outcome,
                                    Duration retryAfter);
     void recordStatedLimit();
+    /** Records whether the endpoint leaves or wants no request for some time. */
+    void recordSignals();
+    /** Whether the endpoint has said neither since it was chosen. */
+    bool isStillAvailable(const ListedEndpoint &endpoint) const;
     void logBlocked(const CrashAttribution::Verdict &verdict);
     /** @param evidence what showed that the attempt was broken off, for the log */
     void recordConnectionLost(const std::string &endpoint, const char *evidence);
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -86,16 +86,28 @@
                        [this]() {
                            return m_quotaGate.daemonCount();
                        })
-    , m_services{core.loop(),      m_listener,
-                 m_pool,           m_operatorFeed,
-                 m_endpointFeed,   m_enginePlacement,
-                 m_plainPlacement, m_transferPlanner,
-                 m_retryBudget,    m_keyFreshness,
-                 m_quotaGate,      m_quotaClient,
-                 m_engineLinks,    m_engineProbes,
-                 m_crashGuard,     m_endpointLimits,
-                 m_streamVersions, m_log,
-                 core.metrics(),   settings.weightsDeadline}
+    , m_endpointSignals(core.settings().daemon)
+    , m_services{core.loop(),
+                 m_listener,
+                 m_pool,
+                 m_operatorFeed,
+                 m_endpointFeed,
+                 m_enginePlacement,
+                 m_plainPlacement,
+                 m_transferPlanner,
+                 m_retryBudget,
+                 m_keyFreshness,
+                 m_quotaGate,
+                 m_quotaClient,
+                 m_engineLinks,
+                 m_engineProbes,
+                 m_crashGuard,
+                 m_endpointLimits,
+                 m_streamVersions,
+                 m_endpointSignals,
+                 m_log,
+                 core.metrics(),
+                 settings.weightsDeadline}
     , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     countStoreEras(m_store, core.metrics());
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -42,6 +42,7 @@
     EngineProbes m_engineProbes;
     CrashGuard m_crashGuard;
     StreamVersions m_streamVersions;
+    EndpointSignals m_endpointSignals;
     EndpointLimits m_endpointLimits;
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -12,6 +12,7 @@
 #include "main/proxy/streamversions.h"
 #include "servers/endpointlimits.h"
 #include "servers/endpointplacement.h"
+#include "servers/endpointsignals.h"
 #include "servers/keyfreshness.h"
 #include "servers/quotagate.h"
 #include "servers/retrybudget.h"
@@ -44,6 +45,7 @@
     CrashGuard &crashGuard;
     EndpointLimits &endpointLimits;
     StreamVersions &streamVersions;
+    EndpointSignals &endpointSignals;
     DecisionLog &log;
     Metrics &metrics;
     /** How long engines with older weights may still be used after new weights were set. */
