--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -36,7 +36,6 @@
     const TrafficRoute *m_route = nullptr;
     const TrafficAccount *m_account = nullptr;
     std::string m_service;
-    bool m_isEngineService = false;
     std::optional<AttemptTracker> m_attemptTracker;
     PlacedPrompt m_prompt;
     std::optional<EndpointSearch> m_endpointSearch;
@@ -45,8 +44,6 @@
     std::unique_ptr<QuotaAcquisition> m_quotaAcquisition;
     /** What may make an engine crash that runs the request. */
     std::vector<CrashSuspect> m_suspects;
-    /** Whether the request is the trial of a blocked suspect. It is sent to one endpoint only. */
-    bool m_isTrial = false;
     CrashGuard::ClaimId m_trialClaim = 0;
     /** The pending reservation at the holder of an endpoint's limit. */
     QuotaClient::ReservationId m_endpointReservation = 0;
@@ -56,27 +53,30 @@
     /** The shortest wait that holders of endpoints' limits have named. */
     std::optional<Duration> m_limitWait;
 
-    /** Whether the response is a stream that may go on at another endpoint, and only at the same software version. */
-    bool m_isResumable = false;
     StreamVersions::LookupId m_versionLookup = 0;
     StreamHold m_streamHold;
     /** The software version of the endpoint that the current attempt was sent to. */
     std::string m_sentVersion;
-    /** The endpoint may have started again since the current attempt was sent. */
-    bool m_isStartDoubtful = false;
 
     HttpPool::CallId m_endpointCall = 0;
     std::string m_endpoint;
     /** The incarnation of the endpoint that the current attempt was sent to. */
     EndpointStart m_endpointStart;
     std::vector<std::string> m_triedEndpoints;
-    bool m_isPromptDone = false;
     /** The weights version of the engine that the request was sent to. */
     std::int64_t m_sentWeights = 0;
     std::string m_cacheSalt;
     /** When the current attempt was sent. */
     TimePoint m_sentAt{};
 
+    bool m_isEngineService = false;
+    /** Whether the request is the trial of a blocked suspect. It is sent to one endpoint only. */
+    bool m_isTrial = false;
+    /** Whether the response is a stream that may go on at another endpoint, and only at the same software version. */
+    bool m_isResumable = false;
+    /** The endpoint may have started again since the current attempt was sent. */
+    bool m_isStartDoubtful = false;
+    bool m_isPromptDone = false;
     bool m_isEnded = false;
 
     EndpointPlacement &placement();
--- a/tests/main/joinedversions_test.cpp
+++ b/tests/main/joinedversions_test.cpp
@@ -202,7 +202,7 @@
         const Stream stream = fleet.stream();
         CHECK((stream.isComplete() || !stream.hasPiece(3)));
     }
-    REQUIRE(fleet.endpoints[0]->received.size() > 0);
+    REQUIRE_FALSE(fleet.endpoints[0]->received.empty());
     CHECK(fleet.takeUps(1) + fleet.takeUps(2) == 0);
 }
 
