Remove withdrawn crash reports from the table, and bound the checks, writes and name lookups of the new rules

Found by reading the change. A report that is withdrawn stayed in the table until the next row was written, so other daemons went on counting it; keys of wrong rows are now removed by themselves, and again if that fails. Attempts that are given up without an answer are checked at plain services only: prompts wait for seconds under load, and each check is a connection. A period of a software version that can't be written is tried again every 0.5 s instead of every 0.1 s. Endpoints' names are only made if some endpoint has said that it leaves or wants a wait: a rank over 2,700 engines would make as many.

--- a/main/proxy/crashguard.cpp
+++ b/main/proxy/crashguard.cpp
@@ -236,7 +236,8 @@
 void CrashGuard::writeRows()
 {
     const std::optional<Duration> offset = m_feed.clock().offset();
-    if (m_isWriting || m_tracker.unwrittenRows().empty() || !offset.has_value()) {
+    const bool isNeeded = !m_tracker.unwrittenRows().empty() || m_tracker.hasWrongRows();
+    if (m_isWriting || !isNeeded || !offset.has_value()) {
         return;
     }
     platform::StoreTransaction transaction;
@@ -248,13 +249,18 @@
         rows.push_back(entry.second);
         transaction.puts.push_back({crashTable, entry.first, encodeCrashRow(entry.second, *offset)});
     }
-    for (const std::string &key : m_tracker.takeDroppedKeys(Loop::now())) {
-        if (transaction.removals.size() < maxRemovalsPerWrite) {
-            transaction.removals.push_back({crashTable, key, 0});
-        }
+    std::vector<std::string> removed = m_tracker.takeDroppedKeys(Loop::now());
+    if (removed.size() > maxRemovalsPerWrite) {
+        removed.resize(maxRemovalsPerWrite);
+    }
+    for (const std::string &key : removed) {
+        transaction.removals.push_back({crashTable, key, 0});
     }
     m_isWriting = true;
-    m_store.transact(transaction, [this, rows](const platform::StoreReply &reply) {
+    m_store.transact(transaction, [this, rows, removed](const platform::StoreReply &reply) {
+        if (reply.failure.has_value()) {
+            m_tracker.returnDroppedKeys(removed);
+        }
         handleWritten(rows, reply);
     });
 }
@@ -274,7 +280,7 @@
         m_log.write("crashes", reply.failure.has_value() ? "evidence not written" : "evidence written",
                     {{"key", key}, {"suspects", std::to_string(row.report.suspects.size())}, {"status", std::to_string(reply.status)}});
     }
-    if (!m_tracker.unwrittenRows().empty()) {
+    if (!m_tracker.unwrittenRows().empty() || m_tracker.hasWrongRows()) {
         m_loop.timers().subscribeOnce(reply.failure.has_value() ? writeRetryDelay : Duration::zero(), [this](TimePoint) {
             writeRows();
         });
--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -66,13 +66,20 @@
 
 bool EndpointSearch::isCandidate(const ListedEndpoint &endpoint) const
 {
-    const std::string start = startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs});
-    return isOfVersion(endpoint) && m_services.endpointSignals.isAvailable(start, Loop::now());
+    if (!isOfVersion(endpoint)) {
+        return false;
+    }
+    const EndpointSignals &endpointSignals = m_services.endpointSignals;
+    return endpointSignals.isEmpty()
+        || endpointSignals.isAvailable(startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs}), Loop::now());
 }
 
 std::optional<Duration> EndpointSearch::shortestWait() const
 {
     std::optional<Duration> shortest;
+    if (m_services.endpointSignals.isEmpty()) {
+        return shortest;
+    }
     for (const ListedEndpoint *endpoint : m_services.endpointFeed.directory().available(m_criteria.service)) {
         const std::string start = startName(EndpointStart{endpoint->id, endpoint->address, endpoint->startedMs});
         const std::optional<Duration> wait = m_services.endpointSignals.remainingWait(start, Loop::now());
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -786,7 +786,8 @@
 
 void ProxyCall::recordUnanswered()
 {
-    const bool isWaiting = !m_endpoint.empty() && m_relay.response().status == 0;
+    // The endpoint daemons notice engines that have become silent, and prompts wait there for long.
+    const bool isWaiting = !m_isEngineService && !m_endpoint.empty() && m_relay.response().status == 0;
     if (isWaiting && Loop::now() - m_sentAt >= minUnansweredTime) {
         m_services.crashGuard.recordUnanswered(m_endpointStart, m_suspects);
     }
--- a/main/proxy/streamversions.cpp
+++ b/main/proxy/streamversions.cpp
@@ -23,7 +23,6 @@
 constexpr StoreFeed::PollSettings polling{std::chrono::seconds(20), std::chrono::milliseconds(10)};
 
 constexpr Duration versionCheckPeriod = std::chrono::milliseconds(500);
-constexpr Duration writeRetryDelay = std::chrono::milliseconds(100);
 // The daemons notice a new version at the same time. Their writes are spread, so that the first one makes the others needless.
 constexpr Duration versionWriteSpreadPerDaemon = std::chrono::milliseconds(4);
 constexpr Duration maxVersionWriteSpread = std::chrono::milliseconds(250);
@@ -262,9 +261,10 @@
             m_versions.apply(change, Loop::now());
         }
     }
-    m_loop.timers().subscribeOnce(reply.failure.has_value() ? writeRetryDelay : Duration::zero(), [this](TimePoint) {
+    // After a failure the next periodic check tries again.
+    if (!reply.failure.has_value()) {
         updateVersions();
-    });
+    }
 }
 
 SoftwareVersions::RecordNeed StreamVersions::recordNeed(const std::string &service, const std::string &version) const
--- a/servers/crashtracker.cpp
+++ b/servers/crashtracker.cpp
@@ -426,6 +426,16 @@
     return keys;
 }
 
+bool CrashTracker::hasWrongRows() const
+{
+    return !m_obsoleteKeys.empty();
+}
+
+void CrashTracker::returnDroppedKeys(const std::vector<std::string> &keys)
+{
+    m_obsoleteKeys.insert(m_obsoleteKeys.end(), keys.begin(), keys.end());
+}
+
 std::vector<SuspectId> CrashTracker::blockedSuspects(TimePoint now)
 {
     return m_attribution.blockedSuspects(now);
--- a/servers/crashtracker.h
+++ b/servers/crashtracker.h
@@ -151,8 +151,12 @@
      */
     void mergeOlderRows(const std::vector<CrashRow> &rows, TimePoint now);
 
+    /** Whether rows are in the table that are wrong, rather than only old. */
+    bool hasWrongRows() const;
     /** The keys of rows that no longer count and may be removed from the table. */
     std::vector<std::string> takeDroppedKeys(TimePoint now);
+    /** Records that wrong rows could not be removed. */
+    void returnDroppedKeys(const std::vector<std::string> &keys);
 
     std::vector<SuspectId> blockedSuspects(TimePoint now);
 };
--- a/servers/endpointsignals.cpp
+++ b/servers/endpointsignals.cpp
@@ -60,6 +60,11 @@
     entry.waitUntil = std::max(entry.waitUntil, now + bounded + delay);
 }
 
+bool EndpointSignals::isEmpty() const
+{
+    return m_entries.empty();
+}
+
 bool EndpointSignals::isAvailable(const std::string &start, TimePoint now) const
 {
     const auto found = m_entries.find(start);
--- a/servers/endpointsignals.h
+++ b/servers/endpointsignals.h
@@ -49,6 +49,9 @@
     /** Records that an endpoint wants no request for @p wait. A wait that ends later stays in force. */
     void recordWait(const std::string &start, Duration wait, TimePoint now);
 
+    /** Whether no endpoint has said anything. */
+    bool isEmpty() const;
+
     /** Whether a request may be sent to the endpoint. */
     bool isAvailable(const std::string &start, TimePoint now) const;
 
