--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -214,7 +214,7 @@
             const std::string &echo = current.request.echoHeader;
             const std::string *echoed = echo.empty() ? nullptr : head.find(echo);
             if (current.isReused && !echo.empty() && echoed == nullptr && head.status >= firstFinalStatus) {
-                // It may belong to an earlier request, and what it says must not be believed of this one.
+                // It may be the response to an earlier request.
                 closeConnection(id, HttpCallResult::Broken, HttpBreakCause::Malformed);
                 return;
             }
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -29,7 +29,7 @@
 
 constexpr Duration endpointConnectTimeout = std::chrono::milliseconds(400);
 
-// An attempt that is given up without an answer earlier says little about its endpoint.
+// An attempt that is given up without an answer before this time is no sign of trouble at its endpoint.
 constexpr Duration minUnansweredTime = std::chrono::seconds(1);
 
 constexpr Duration misdirectedAnswerTime = std::chrono::milliseconds(300);
@@ -312,7 +312,7 @@
     }
     const Duration predicted = fromSeconds(choice.costMs / millisecondsPerSecond);
     const Admission::Basis basis = choice.knownPrefixes < 0 ? Admission::Basis::Reported : Admission::Basis::Probed;
-    // The caller has the begin of a stream that it takes up, so a late rest is worth more to it than a refusal.
+    // The caller already has the first events of the stream, so a late rest is worth more to it than a refusal.
     if (m_isEngineService && m_attemptTracker->attemptCount() == 0 && !isTakeUp()
         && !Admission::admits(predicted, basis, waited, m_route->targetLatency)) {
         fail(ErrorKind::Overloaded, std::max(predicted - m_route->targetLatency / 2, Duration::zero()));
@@ -545,7 +545,7 @@
 void ProxyCall::recordSignals()
 {
     const platform::EndpointResponse &response = m_relay.response();
-    // Another endpoint at the address speaks for itself.
+    // The response is of another endpoint at the address.
     if (response.instance.empty() ? response.isMisdirected : response.instance != m_endpointStart.id) {
         return;
     }
--- a/servers/crashattribution.cpp
+++ b/servers/crashattribution.cpp
@@ -165,7 +165,7 @@
     }
 }
 
-bool CrashAttribution::isGraveRequest(SuspectId suspect) const
+bool CrashAttribution::isBlockableRequest(SuspectId suspect) const
 {
     const auto found = m_records.find(suspect);
     return found != m_records.end() && found->second.isWholeRequest
@@ -198,10 +198,10 @@
     const std::size_t count = suspects.size();
     suspects.erase(std::remove_if(suspects.begin(), suspects.end(),
                                   [this](const CrashSuspect &suspect) {
-                                      return !isGraveRequest(suspect.id);
+                                      return !isBlockableRequest(suspect.id);
                                   }),
                    suspects.end());
-    const bool isNeeded = isReport ? !suspects.empty() : isGraveRequest(row.suspect);
+    const bool isNeeded = isReport ? !suspects.empty() : isBlockableRequest(row.suspect);
     if (!isNeeded || now - (isReport ? row.report.at : row.at) > m_settings.requestLifetime) {
         dropRow(key);
     } else if (suspects.size() < count) {
--- a/servers/crashattribution.h
+++ b/servers/crashattribution.h
@@ -153,7 +153,7 @@
     void expireRows(TimePoint now);
     void expireRow(const std::string &key, TimePoint now);
     /** Whether a suspect is a whole request with enough crashes to be blocked. */
-    bool isGraveRequest(SuspectId suspect) const;
+    bool isBlockableRequest(SuspectId suspect) const;
     /** Whether the record has enough crashes not in @p explained to be blocked for them. */
     bool isEnough(const Record &record, int crashes, TimePoint now) const;
     int usedTrials(const Record &record) const;
--- a/servers/crashtracker.cpp
+++ b/servers/crashtracker.cpp
@@ -23,7 +23,7 @@
 constexpr Duration recheckDelay = std::chrono::milliseconds(500);
 constexpr Duration unreachableCheckInterval = std::chrono::seconds(2);
 
-// Starts at one address that are told apart.
+// Limits on the addresses and on the starts at each of them that are remembered.
 constexpr std::size_t maxStartsPerAddress = 8;
 constexpr std::size_t maxAddresses = 20000;
 
--- a/servers/endpointsignals.h
+++ b/servers/endpointsignals.h
@@ -11,10 +11,9 @@
 {
 
 /**
- * What endpoints have said of themselves in their answers, as one entry daemon
- * knows it: that they leave, or that they want no request for some time. Both hold
- * for one start of the endpoint, whatever the list says of it and whatever it
- * answers later.
+ * The signals in the answers of endpoints, as received by one entry daemon: that the
+ * endpoint leaves, or that it wants no request for some time. Both apply to one start
+ * of the endpoint, regardless of its entry in the list and of its later answers.
  */
 class EndpointSignals
 {
@@ -49,7 +48,7 @@
     /** Records that an endpoint wants no request for @p wait. A wait that ends later stays in force. */
     void recordWait(const std::string &start, Duration wait, TimePoint now);
 
-    /** Whether no endpoint has said anything. */
+    /** Whether no signal has been received. */
     bool isEmpty() const;
 
     /** Whether a request may be sent to the endpoint. */
--- a/tests/main/joinedversions_test.cpp
+++ b/tests/main/joinedversions_test.cpp
@@ -235,7 +235,7 @@
     for (const std::string &resumes : {std::string("never-begun"), std::string(), std::string(3000, 'x'), std::string("a/b c?d=%00")}) {
         CHECK(fleet.stream("2", resumes).status == 503);
     }
-    // Nothing is learned of the requests of another client account.
+    // An id of another client account is not found.
     CHECK(fleet.stream("2", broken.id, "other key").status == 503);
     fleet.unlist(0);
     fleet.unlist(2);
--- a/tests/main/repeatedrefusal_test.cpp
+++ b/tests/main/repeatedrefusal_test.cpp
@@ -78,7 +78,7 @@
     const std::size_t before = fixture.receivedCount();
     const Response response = fixture.proxy.sendRequest("/once/x");
     CAPTURE(status, id, order);
-    // The endpoint may have run the request: neither may its caller be told otherwise, nor may it run elsewhere.
+    // The endpoint may have run the request, so it must neither be reported as not run nor run elsewhere.
     CHECK((response.head.status == 200 || response.head.status == 502));
     CHECK(fixture.receivedCount() == before + 1);
 }
--- a/tests/servers/endpointsignals_test.cpp
+++ b/tests/servers/endpointsignals_test.cpp
@@ -69,7 +69,7 @@
             bool isLeaving = false;
             TimePoint waitUntil = timeNever;
         };
-        /** What one daemon has been told, in the words of the rules. */
+        /** The signals in the answers that one daemon has received. */
         struct Told
         {
             bool isLeaving = false;
