--- a/main/feeds/endpointfeed.cpp
+++ b/main/feeds/endpointfeed.cpp
@@ -3,6 +3,7 @@
 #include "platform/endpointdecoder.h"
 #include "platform/names.h"
 
+#include <set>
 #include <utility>
 
 namespace citronspar
@@ -46,6 +47,11 @@
     m_changeHandlers.push_back(std::move(handler));
 }
 
+void EndpointFeed::onRead(ChangeHandler handler)
+{
+    m_readHandler = std::move(handler);
+}
+
 void EndpointFeed::start()
 {
     m_feed.start();
@@ -78,6 +84,9 @@
     m_directory.replaceAll(std::move(endpoints), Loop::now(), isOfNewEra);
     m_hasSnapshot = true;
     notifyChange();
+    if (m_readHandler) {
+        m_readHandler();
+    }
 }
 
 void EndpointFeed::applyChanges(const std::vector<platform::StoreRow> &rows)
@@ -111,6 +120,27 @@
     m_feed.readOnce();
 }
 
+void EndpointFeed::applyConfig(const TrafficConfig &config)
+{
+    std::set<std::string> services;
+    for (const std::pair<const std::string, TrafficService> &service : config.services) {
+        if (service.second.kvStoreAddress.empty()) {
+            services.insert(service.first);
+        }
+    }
+    m_directory.setServices(services);
+    if (m_hasSnapshot) {
+        notifyChange();
+    }
+}
+
+void EndpointFeed::recordOccupant(const std::string &address, const std::string &id)
+{
+    if (m_directory.recordOccupant(address, id)) {
+        m_log.write("endpoints", "endpoint in force by its own statement", {{"id", id}, {"address", address}});
+    }
+}
+
 const EndpointDirectory &EndpointFeed::directory() const
 {
     return m_directory;
--- a/main/proxy/enginelinks.cpp
+++ b/main/proxy/enginelinks.cpp
@@ -69,10 +69,10 @@
     if (config == nullptr) {
         return addresses;
     }
-    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpointFeed.directory().all()) {
-        const auto service = config->services.find(entry.second.service);
+    for (const ListedEndpoint *endpoint : m_endpointFeed.directory().all()) {
+        const auto service = config->services.find(endpoint->service);
         if (service != config->services.end() && service->second.isEngine) {
-            addresses.insert(daemonAddress(entry.second));
+            addresses.insert(daemonAddress(*endpoint));
         }
     }
     return addresses;
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -382,6 +382,7 @@
     HttpPool::Handlers handlers;
     handlers.onHead = [this](const HttpHead &head, HttpBodyFraming framing, std::int64_t length) {
         m_relay.handleHead(*m_route, head, framing, length);
+        recordOccupant();
         recordStatedLimit();
         recordSignals();
     };
@@ -564,6 +565,16 @@
     }
 }
 
+void ProxyCall::recordOccupant()
+{
+    const platform::EndpointResponse &response = m_relay.response();
+    if (!response.instance.empty()) {
+        m_services.endpointFeed.recordOccupant(m_endpointStart.address, response.instance);
+    } else if (response.isSigned) {
+        m_services.endpointFeed.recordOccupant(m_endpointStart.address, m_endpointStart.id);
+    }
+}
+
 bool ProxyCall::isStillAvailable(const ListedEndpoint &endpoint) const
 {
     const std::string start = startName(EndpointStart{endpoint.id, endpoint.address, endpoint.startedMs});
@@ -820,14 +831,26 @@
 
 void ProxyCall::handleEndpointStarted(const EndpointStart &start)
 {
+    // An entry with another id does not prove that the endpoint has ended, and one with another id refuses the request.
+    const bool isSameEndpoint = start.id.empty() || start.id == m_endpointStart.id;
     const bool isTimeKnown = m_endpointStart.startedMs != 0 && start.startedMs != 0;
-    const bool isOtherStart
-        = isTimeKnown ? m_endpointStart.startedMs < start.startedMs : !start.id.empty() && m_endpointStart.id != start.id;
-    const bool isEarlierStart = m_endpointStart.address == start.address && isOtherStart;
+    if (!isSameEndpoint || m_endpointStart.address != start.address || !isTimeKnown || m_endpointStart.startedMs >= start.startedMs) {
+        return;
+    }
+    m_isStartDoubtful = true;
+    handleEndpointEnded(m_endpointStart);
+}
+
+std::optional<EndpointStart> ProxyCall::currentEndpoint() const
+{
+    return m_endpoint.empty() ? std::nullopt : std::optional<EndpointStart>(m_endpointStart);
+}
+
+void ProxyCall::handleEndpointEnded(const EndpointStart &earlier)
+{
     // A later attempt has reached the new incarnation, which states that it does not run it.
     const bool isOnItsWay = Loop::now() - m_sentAt < misdirectedAnswerTime;
-    m_isStartDoubtful = m_isStartDoubtful || isEarlierStart;
-    if (m_endpoint.empty() || !isEarlierStart || isOnItsWay) {
+    if (m_endpoint.empty() || isOnItsWay || startName(m_endpointStart) != startName(earlier) || m_endpointStart.address != earlier.address) {
         return;
     }
     const std::string endpoint = m_endpoint;
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -107,6 +107,8 @@
     void recordStatedLimit();
     /** Records whether the endpoint leaves or wants no request for some time. */
     void recordSignals();
+    /** Records which endpoint answers at the address. */
+    void recordOccupant();
     /** Whether the endpoint has said neither since it was chosen. */
     bool isStillAvailable(const ListedEndpoint &endpoint) const;
     void logBlocked(const CrashAttribution::Verdict &verdict);
@@ -157,9 +159,18 @@
      */
     void abandonOldWeights(const std::string &model, std::int64_t version);
 
-    /** Ends the current attempt as broken if its endpoint has started again since, as the earlier incarnation can't answer any more. */
+    /**
+     * Ends the current attempt as broken if its endpoint has started again since under the same id, or if its endpoint daemon has
+     * reported the start, as the earlier incarnation can't answer any more.
+     */
     void handleEndpointStarted(const EndpointStart &start);
 
+    /** The start of the endpoint that the current attempt was sent to; nullopt if none runs. */
+    std::optional<EndpointStart> currentEndpoint() const;
+
+    /** Ends the current attempt as broken if it runs at @p earlier, which has ended. */
+    void handleEndpointEnded(const EndpointStart &earlier);
+
     /** Its endpoint no longer answers its endpoint daemon. The attempt goes on, and counts as evidence if the endpoint has ended. */
     void handleEndpointSilent(const std::string &address);
 
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -36,6 +36,9 @@
 // The daemon reports that it is not ready when the store has not responded for this long, so that callers use other daemons.
 constexpr Duration maxReadyConfirmationAge = std::chrono::milliseconds(3000);
 
+// Asked for of an endpoint whose service is no longer configured; an endpoint refuses a request for another one at any path.
+constexpr const char *defaultHealthPath = "/health";
+
 // Fraction of the permitted retries that is used; the rest absorbs requests that are counted late.
 constexpr double usedRetryFraction = 0.9;
 constexpr Duration retryBudgetUpdatePeriod = std::chrono::milliseconds(500);
@@ -82,6 +85,7 @@
     , m_engineLinks(core, links, m_operatorFeed, m_endpointFeed, m_enginePlacement, m_quotaGate, m_log, settings.peerPort)
     , m_engineProbes(core, links)
     , m_crashGuard(core.loop(), m_store, m_log, core.settings().daemon)
+    , m_occupantCheck(core.loop(), m_pool, m_log)
     , m_streamVersions(core.loop(), m_store, m_log, m_endpointFeed, core.settings().daemon,
                        [this]() {
                            return m_quotaGate.daemonCount();
@@ -135,6 +139,7 @@
     });
     m_operatorFeed.onConfig([this](const TrafficConfig &config) {
         applyLimits(config);
+        m_endpointFeed.applyConfig(config);
         // The feed confirms the configuration only after it has applied it, and requests are not fresh before.
         m_core.timers().subscribeOnce(Duration::zero(), [this](TimePoint) {
             startHeldRequests();
@@ -145,13 +150,8 @@
     });
     m_endpointFeed.onChange([this]() {
         startHeldRequests();
-        for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpointFeed.directory().all()) {
-            const ListedEndpoint &endpoint = entry.second;
-            const EndpointStart start{endpoint.id, endpoint.address, endpoint.startedMs};
-            if (m_crashGuard.recordStarted(start)) {
-                handleEndpointStarted(start);
-            }
-        }
+        handleListedStarts();
+        checkOccupants();
     });
     m_streamVersions.onReady([this]() {
         startHeldRequests();
@@ -185,6 +185,41 @@
     }
 }
 
+void ProxyRole::handleListedStarts()
+{
+    // A handler may change the list, so the starts are copied.
+    std::vector<EndpointStart> started;
+    for (const ListedEndpoint *endpoint : m_endpointFeed.directory().inForce()) {
+        const EndpointStart start{endpoint->id, endpoint->address, endpoint->startedMs};
+        if (m_crashGuard.recordStarted(start)) {
+            started.push_back(start);
+        }
+    }
+    for (const EndpointStart &start : started) {
+        handleEndpointStarted(start);
+    }
+}
+
+void ProxyRole::checkOccupants()
+{
+    const EndpointDirectory &directory = m_endpointFeed.directory();
+    std::map<std::string, EndpointStart> doubtful;
+    for (const ProxyCall *call : currentCalls()) {
+        const std::optional<EndpointStart> current = call->currentEndpoint();
+        if (current.has_value() && directory.isDisplaced(current->id, current->address, current->startedMs)) {
+            doubtful.emplace(current->address, *current);
+        }
+    }
+    for (const ListedEndpoint *endpoint : directory.contested()) {
+        doubtful.emplace(endpoint->address, EndpointStart{endpoint->id, endpoint->address, endpoint->startedMs});
+    }
+    for (const std::pair<const std::string, EndpointStart> &entry : doubtful) {
+        m_occupantCheck.start(entry.second, healthPathOf(entry.second), [this, expected = entry.second](const std::string &occupant) {
+            handleOccupant(expected, occupant);
+        });
+    }
+}
+
 void ProxyRole::handleEndpointStarted(const EndpointStart &start)
 {
     for (ProxyCall *call : currentCalls()) {
@@ -192,6 +227,28 @@
     }
 }
 
+std::string ProxyRole::healthPathOf(const EndpointStart &start) const
+{
+    const ListedEndpoint *endpoint = m_endpointFeed.directory().find(start.id);
+    const std::shared_ptr<const TrafficConfig> &config = m_operatorFeed.config();
+    if (endpoint == nullptr || config == nullptr) {
+        return defaultHealthPath;
+    }
+    const auto service = config->services.find(endpoint->service);
+    return service == config->services.end() || service->second.healthPath.empty() ? defaultHealthPath : service->second.healthPath;
+}
+
+void ProxyRole::handleOccupant(const EndpointStart &expected, const std::string &occupant)
+{
+    m_endpointFeed.recordOccupant(expected.address, occupant);
+    if (occupant == expected.id) {
+        return;
+    }
+    for (ProxyCall *call : currentCalls()) {
+        call->handleEndpointEnded(expected);
+    }
+}
+
 std::vector<ProxyCall *> ProxyRole::currentCalls() const
 {
     std::vector<ProxyCall *> calls;
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -5,6 +5,7 @@
 #include "main/proxy/crashguard.h"
 #include "main/proxy/enginelinks.h"
 #include "main/proxy/kvstorewatch.h"
+#include "main/proxy/occupantcheck.h"
 #include "main/proxy/proxycall.h"
 #include "main/proxy/proxyservices.h"
 #include "main/role.h"
@@ -12,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace citronspar
@@ -41,6 +43,7 @@
     EngineLinks m_engineLinks;
     EngineProbes m_engineProbes;
     CrashGuard m_crashGuard;
+    OccupantCheck m_occupantCheck;
     StreamVersions m_streamVersions;
     EndpointSignals m_endpointSignals;
     EndpointLimits m_endpointLimits;
@@ -57,7 +60,15 @@
     void removeCall(HttpListener::ExchangeId id);
     void scheduleWeightsCutoff(const std::string &model, std::int64_t version);
     void abandonOldWeights(const std::string &model, std::int64_t version);
+    /** Handles the starts that the list shows for the first time. */
+    void handleListedStarts();
+    /** Asks endpoints for their ids where the list leaves it open which one is at an address. */
+    void checkOccupants();
     void handleEndpointStarted(const EndpointStart &start);
+    /** The path at which the endpoint of @p start answers health checks. */
+    std::string healthPathOf(const EndpointStart &start) const;
+    /** The endpoint at the address of @p expected has stated that its id is @p occupant. */
+    void handleOccupant(const EndpointStart &expected, const std::string &occupant);
     /** A call that ends during iteration is removed from the map at once and destroyed in the next loop iteration. */
     std::vector<ProxyCall *> currentCalls() const;
     void handleReadinessRequest(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
--- a/main/proxy/streamversions.cpp
+++ b/main/proxy/streamversions.cpp
@@ -178,15 +178,16 @@
 void StreamVersions::observeList()
 {
     std::set<std::pair<std::string, std::string>> listed;
-    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpointFeed.directory().all()) {
-        listed.emplace(entry.second.service, entry.second.softwareVersion);
+    for (const ListedEndpoint *endpoint : m_endpointFeed.directory().all()) {
+        listed.emplace(endpoint->service, endpoint->softwareVersion);
     }
     m_versions.observe(listed, Loop::now());
 }
 
 void StreamVersions::updateVersions()
 {
-    if (!m_hasSnapshot || !m_endpointFeed.hasSnapshot()) {
+    // Without a configuration it is not known which of the listed services are real.
+    if (!m_hasSnapshot || !m_endpointFeed.hasSnapshot() || !m_endpointFeed.directory().hasServices()) {
         return;
     }
     const TimePoint now = Loop::now();
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -73,7 +73,10 @@
         m_isListCurrent = false;
         m_endpointFeed.readOnce();
     });
-    m_endpointFeed.onChange([this]() {
+    m_operatorFeed.onConfig([this](const TrafficConfig &config) {
+        m_endpointFeed.applyConfig(config);
+    });
+    m_endpointFeed.onRead([this]() {
         m_isListCurrent = true;
         updateWantedWeights();
     });
@@ -244,10 +247,10 @@
 const ListedEndpoint *SidecarRole::findOwnEntry() const
 {
     const ListedEndpoint *ownEntry = nullptr;
-    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpointFeed.directory().all()) {
-        const bool isSameStart = m_report.has_value() && entry.second.startedMs == m_report->startedMs;
-        if (entry.second.address == m_engineAddress && (ownEntry == nullptr || isSameStart)) {
-            ownEntry = &entry.second;
+    for (const ListedEndpoint *endpoint : m_endpointFeed.directory().atAddress(m_engineAddress)) {
+        const bool isSameStart = m_report.has_value() && endpoint->startedMs == m_report->startedMs;
+        if (ownEntry == nullptr || isSameStart) {
+            ownEntry = endpoint;
         }
     }
     return ownEntry;
--- a/servers/endpointdirectory.cpp
+++ b/servers/endpointdirectory.cpp
@@ -1,7 +1,7 @@
 #include "servers/endpointdirectory.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 #include <utility>
 
 namespace citronspar
@@ -22,6 +22,68 @@
 {
 }
 
+void EndpointDirectory::setServices(const std::set<std::string> &services)
+{
+    if (m_services.has_value()) {
+        m_formerServices.insert(m_services->begin(), m_services->end());
+    }
+    m_services = services;
+    std::set<std::string> listed;
+    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
+        listed.insert(entry.second.service);
+    }
+    for (auto it = m_formerServices.begin(); it != m_formerServices.end();) {
+        it = listed.count(*it) == 0 || services.count(*it) > 0 ? m_formerServices.erase(it) : std::next(it);
+    }
+    m_isIndexed = false;
+}
+
+bool EndpointDirectory::hasServices() const
+{
+    return m_services.has_value();
+}
+
+bool EndpointDirectory::isOfNewestConfig(const ListedEndpoint &endpoint) const
+{
+    return !m_services.has_value() || m_services->count(endpoint.service) > 0;
+}
+
+bool EndpointDirectory::isCounted(const ListedEndpoint &endpoint) const
+{
+    return isOfNewestConfig(endpoint) || m_formerServices.count(endpoint.service) > 0;
+}
+
+bool EndpointDirectory::isDisplacedBy(const ListedEndpoint &endpoint, const ListedEndpoint &other) const
+{
+    const auto occupant = m_occupants.find(endpoint.address);
+    if (occupant != m_occupants.end() && (occupant->second == endpoint.id || occupant->second == other.id)) {
+        return occupant->second != endpoint.id;
+    }
+    if (isOfNewestConfig(endpoint) != isOfNewestConfig(other)) {
+        return isOfNewestConfig(other);
+    }
+    return other.startedMs > endpoint.startedMs;
+}
+
+bool EndpointDirectory::recordOccupant(const std::string &address, const std::string &id)
+{
+    const std::vector<const ListedEndpoint *> &sharing = atAddress(address);
+    const auto occupant = m_occupants.find(address);
+    const bool isKnown = occupant != m_occupants.end() && occupant->second == id;
+    const bool isListed = std::any_of(sharing.begin(), sharing.end(), [&](const ListedEndpoint *endpoint) {
+        return endpoint->id == id;
+    });
+    if (sharing.size() < 2 || isKnown || !isListed) {
+        return false;
+    }
+    const bool wasInForce = std::any_of(m_inForce.begin(), m_inForce.end(), [&](const ListedEndpoint *endpoint) {
+        return endpoint->id == id;
+    });
+    m_occupants[address] = id;
+    m_isIndexed = false;
+    return !wasInForce;
+}
+
 void EndpointDirectory::recordOutage(TimePoint now)
 {
     m_lastOutage = now;
@@ -57,6 +119,12 @@
         m_departures.erase(endpoint.id);
     }
     const std::string id = endpoint.id;
+    const auto known = m_endpoints.find(id);
+    const bool isSameStart
+        = known != m_endpoints.end() && known->second.startedMs == endpoint.startedMs && known->second.address == endpoint.address;
+    if (!isSameStart) {
+        m_occupants.erase(endpoint.address);
+    }
     m_endpoints[id] = std::move(endpoint);
 }
 
@@ -73,9 +141,15 @@
         m_pendingRemovals.emplace(id, m_lastOutage + m_returnGrace);
         return;
     }
+    erase(found);
+}
+
+void EndpointDirectory::erase(std::map<std::string, ListedEndpoint>::iterator endpoint)
+{
     m_isIndexed = false;
-    recordDeparture(found->second);
-    m_endpoints.erase(found);
+    recordDeparture(endpoint->second);
+    m_occupants.erase(endpoint->second.address);
+    m_endpoints.erase(endpoint);
 }
 
 void EndpointDirectory::replaceAll(std::vector<ListedEndpoint> endpoints, TimePoint now, bool isOlderCopy)
@@ -119,11 +193,9 @@
             ++it;
             continue;
         }
-        m_isIndexed = false;
         const auto found = m_endpoints.find(it->first);
         if (found != m_endpoints.end()) {
-            recordDeparture(found->second);
-            m_endpoints.erase(found);
+            erase(found);
         }
         it = m_pendingRemovals.erase(it);
         isChanged = true;
@@ -131,52 +203,92 @@
     return isChanged;
 }
 
-const ListedEndpoint *EndpointDirectory::find(const std::string &id) const
-{
-    const auto found = m_endpoints.find(id);
-    return found == m_endpoints.end() ? nullptr : &found->second;
-}
-
 void EndpointDirectory::rebuildIndex() const
 {
     m_isIndexed = true;
+    m_counted.clear();
+    m_inForce.clear();
+    m_contested.clear();
     m_availableByService.clear();
     m_byAddress.clear();
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
-        m_byAddress[entry.second.address].push_back(&entry.second);
+        if (isCounted(entry.second)) {
+            m_counted.push_back(&entry.second);
+            m_byAddress[entry.second.address].push_back(&entry.second);
+        }
     }
-    for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
-        const ListedEndpoint &endpoint = entry.second;
-        // Only the most recently started of the entries that share an address can still be running.
-        const std::vector<const ListedEndpoint *> &sameAddress = m_byAddress[endpoint.address];
-        const bool isNewest = std::all_of(sameAddress.begin(), sameAddress.end(), [&](const ListedEndpoint *other) {
-            return other->startedMs <= endpoint.startedMs;
+    for (const ListedEndpoint *endpoint : m_counted) {
+        const std::vector<const ListedEndpoint *> &sameAddress = m_byAddress[endpoint->address];
+        const auto displacing = std::find_if(sameAddress.begin(), sameAddress.end(), [&](const ListedEndpoint *other) {
+            return other != endpoint && isDisplacedBy(*endpoint, *other);
         });
-        if (!endpoint.isDraining && isNewest) {
-            m_availableByService[endpoint.service].push_back(&endpoint);
+        if (displacing != sameAddress.end()) {
+            if ((*displacing)->service != endpoint->service && m_occupants.count(endpoint->address) == 0) {
+                m_contested.push_back(endpoint);
+            }
+            continue;
+        }
+        m_inForce.push_back(endpoint);
+        if (!endpoint->isDraining) {
+            m_availableByService[endpoint->service].push_back(endpoint);
         }
     }
 }
 
-const std::vector<const ListedEndpoint *> &EndpointDirectory::available(const std::string &service) const
+void EndpointDirectory::ensureIndex() const
 {
     if (!m_isIndexed) {
         rebuildIndex();
     }
+}
+
+const ListedEndpoint *EndpointDirectory::find(const std::string &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() || !isCounted(found->second) ? nullptr : &found->second;
+}
+
+const std::vector<const ListedEndpoint *> &EndpointDirectory::available(const std::string &service) const
+{
+    ensureIndex();
     return m_availableByService[service];
 }
 
 const std::vector<const ListedEndpoint *> &EndpointDirectory::atAddress(const std::string &address) const
 {
-    if (!m_isIndexed) {
-        rebuildIndex();
-    }
+    ensureIndex();
     return m_byAddress[address];
 }
 
-const std::map<std::string, ListedEndpoint> &EndpointDirectory::all() const
+const std::vector<const ListedEndpoint *> &EndpointDirectory::all() const
+{
+    ensureIndex();
+    return m_counted;
+}
+
+const std::vector<const ListedEndpoint *> &EndpointDirectory::inForce() const
+{
+    ensureIndex();
+    return m_inForce;
+}
+
+bool EndpointDirectory::isDisplaced(const std::string &id, const std::string &address, std::int64_t startedMs) const
+{
+    const std::vector<const ListedEndpoint *> &sameAddress = atAddress(address);
+    const auto occupant = m_occupants.find(address);
+    if (occupant != m_occupants.end() && occupant->second == id) {
+        return false;
+    }
+    return std::any_of(sameAddress.begin(), sameAddress.end(), [&](const ListedEndpoint *other) {
+        const bool isLater = other->id != id && (other->startedMs == 0 || other->startedMs >= startedMs);
+        return isLater && std::find(m_inForce.begin(), m_inForce.end(), other) != m_inForce.end();
+    });
+}
+
+const std::vector<const ListedEndpoint *> &EndpointDirectory::contested() const
 {
-    return m_endpoints;
+    ensureIndex();
+    return m_contested;
 }
 
 }
--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -195,6 +195,21 @@
         return m_tables.count(table) > 0;
     }
 
+    /** The keys of the rows of a table that have not been deleted. */
+    std::vector<std::string> keys(const std::string &table) const
+    {
+        std::vector<std::string> result;
+        const auto found = m_tables.find(table);
+        if (found != m_tables.end()) {
+            for (const std::pair<const std::string, nlohmann::json> &row : found->second) {
+                if (!row.second.value("deleted", false)) {
+                    result.push_back(row.first);
+                }
+            }
+        }
+        return result;
+    }
+
     void put(const std::string &table, const std::string &key, const std::string &value, bool isDeleted = false)
     {
         ++m_version;
@@ -280,6 +295,12 @@
             m_listener.respond(id, wrongInstance, std::string());
             return;
         }
+        if (request.head.method == "GET" && request.head.target == "/health") {
+            HttpHead healthy = makeHead(request, 200);
+            healthy.set("Citronspar-Instance-Id", instanceId);
+            m_listener.respond(id, healthy, std::string());
+            return;
+        }
         if (crashes && crashes(request)) {
             // The handler may destroy this object.
             m_loop.timers().subscribeOnce(timeToCrash, [handler = onCrash](TimePoint) {
--- a/tests/main/sidecarrole_test.cpp
+++ b/tests/main/sidecarrole_test.cpp
@@ -52,6 +52,7 @@
             const nlohmann::json order = nlohmann::json::parse(body);
             const std::int64_t fence = order.at("fence").get<std::int64_t>();
             fences.push_back(fence);
+            instances.push_back(head.value("Citronspar-Expect-Instance"));
             if (fence < highestFence) {
                 return makeResponse(412, "");
             }
@@ -67,6 +68,8 @@
 public:
     std::int64_t highestFence = 0;
     std::vector<std::int64_t> fences;
+    /** The endpoint that each order was meant for. */
+    std::vector<std::string> instances;
 
     explicit FakeOrderTaker(Loop &loop)
         : m_endpoint(loop, parseSocketAddress(engineAddress), [this](const HttpHead &head) {
@@ -145,6 +148,39 @@
     CHECK(fixture.loads(3));
 }
 
+TEST_CASE("[SidecarRole] An entry of another writer at the address of the engine does not divert orders to load weights")
+{
+    const auto entryOf = [](const std::string &service, std::int64_t startedMs) {
+        return nlohmann::json({{"service", service},
+                               {"addr", engineAddress},
+                               {"zone", "a"},
+                               {"version", "v1"},
+                               {"slots", 4},
+                               {"state", "ready"},
+                               {"sequence", 1},
+                               {"born", startedMs},
+                               {"models", {{{"name", "m"}, {"version", 1}}}}})
+            .dump();
+    };
+    SidecarFixture fixture;
+    const nlohmann::json config = {{"version", 1},
+                                   {"routes", nlohmann::json::array()},
+                                   {"services", {{{"name", "engines"}, {"engine", {{"kvTokenBytes", 1000}, {"kvCapacityTokens", 1000}}}}}},
+                                   {"limits", nlohmann::json::object()}};
+    fixture.store.put("op", "config", config.dump());
+    fixture.store.put("servers", "engine-1", entryOf("engines", 1000));
+    fixture.store.put("servers", "foreign-1", entryOf("inventory", 1000));
+    fixture.store.put("servers", "foreign-2", entryOf("inventory", 5000));
+    fixture.store.put("servers", "foreign-3", std::string(200000, '[') + std::string(200000, ']'));
+    REQUIRE(fixture.role.open());
+    CHECK(fixture.loads(2));
+    fixture.store.put("servers", "foreign-4", entryOf("inventory", 9000));
+    CHECK(fixture.loads(3));
+    for (const std::string &instance : fixture.engine.instances) {
+        CHECK(instance == "engine-1");
+    }
+}
+
 TEST_CASE("[FencingToken] A token of a later era is higher, whatever the versions are")
 {
     CHECK(makeFencingToken(std::nullopt, 7) == 7);
--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -135,3 +135,73 @@
     REQUIRE(directory.available("pool").size() == 1);
     CHECK(directory.available("pool").front()->id == restarted.id);
 }
+
+namespace
+{
+
+ListedEndpoint endpointAt(const std::string &id, const std::string &service, std::int64_t startedMs)
+{
+    ListedEndpoint result = endpoint(id);
+    result.service = service;
+    result.address = "10.0.0.1:80";
+    result.startedMs = startedMs;
+    return result;
+}
+
+}
+
+TEST_CASE("[EndpointDirectory] An entry of a service that no configuration has named displaces no endpoint, and counts once one names it")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpointAt("own", "pool", 1000));
+    directory.put(endpointAt("foreign", "inventory", 2000));
+    directory.setServices({"pool"});
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.find("foreign") == nullptr);
+    CHECK(directory.all().size() == 1);
+    CHECK(directory.inForce().size() == 1);
+    CHECK(directory.atAddress("10.0.0.1:80").size() == 1);
+    directory.setServices({"pool", "inventory"});
+    CHECK(directory.find("foreign") != nullptr);
+    CHECK(directory.available("inventory").size() == 1);
+}
+
+TEST_CASE("[EndpointDirectory] A service that the configuration drops keeps its endpoints, but displaces none of another service")
+{
+    EndpointDirectory directory(grace);
+    directory.setServices({"pool", "dropped"});
+    directory.put(endpointAt("own", "pool", 1000));
+    ListedEndpoint other = endpointAt("elsewhere", "dropped", 1000);
+    other.address = "10.0.0.2:80";
+    directory.put(other);
+    directory.setServices({"pool"});
+    CHECK(directory.available("dropped").size() == 1);
+    directory.put(endpointAt("late", "dropped", 2000));
+    CHECK(directory.available("pool").size() == 1);
+    // The name is forgotten with its last entry.
+    directory.remove("elsewhere", start);
+    directory.remove("late", start);
+    directory.setServices({"pool"});
+    directory.put(other);
+    CHECK(directory.available("dropped").empty());
+}
+
+TEST_CASE("[EndpointDirectory] The endpoint that states its id is in force at its address until another start is listed there")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpointAt("own", "pool", 1000));
+    CHECK_FALSE(directory.recordOccupant("10.0.0.1:80", "own"));
+    directory.put(endpointAt("foreign", "pool", 2000));
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->id == "foreign");
+    CHECK_FALSE(directory.recordOccupant("10.0.0.1:80", "unlisted"));
+    CHECK(directory.recordOccupant("10.0.0.1:80", "own"));
+    CHECK(directory.available("pool").front()->id == "own");
+    // Heartbeats change nothing.
+    directory.put(endpointAt("foreign", "pool", 2000));
+    directory.put(endpointAt("own", "pool", 1000));
+    CHECK(directory.available("pool").front()->id == "own");
+    directory.put(endpointAt("restarted", "pool", 3000));
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->id == "restarted");
+}
