Believe that a single software version has served only if the table of versions was read after the caller asked (ORDER)

Cause: a take-up with a single known version read nothing, so it rested on whatever the daemon had read last. And a record could be in the store before its version, where a daemon that reads a single version does not look for it. Ruled out: the list of endpoints (the required version comes from the lookup, and an endpoint with another id refuses). Fix: SoftwareVersions::nextLookupStep counts the periods only if they were confirmed after the caller had asked; VersionLookups, split from StreamVersions, reads the changes once for all lookups that wait. Records wait for the row of their version, at most 1 s. Why it works: a stream that a caller takes up began before the caller asked, and its version was in the table before it began. Price: one call to the store a round trip while take-ups wait. Without the store a take-up is refused as not run.

--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -72,6 +72,16 @@
     return m_follower.era();
 }
 
+std::int64_t StoreFeed::version() const
+{
+    return m_follower.version();
+}
+
+bool StoreFeed::hasSnapshot() const
+{
+    return m_follower.hasSnapshot();
+}
+
 bool StoreFeed::isConnected() const
 {
     return m_follower.hasSnapshot() && !m_follower.isFailing();
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -90,6 +90,12 @@
     /** The era of the store; nullopt before the first response that states it. */
     std::optional<std::int64_t> era() const;
 
+    /** The version of the store up to which the changes of the table are known. */
+    std::int64_t version() const;
+
+    /** Whether the table has been read. */
+    bool hasSnapshot() const;
+
     /** Whether the table has been read, and the last request did not fail. */
     bool isConnected() const;
 };
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -127,7 +127,7 @@
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
     m_services.crashGuard.cancelClaim(m_trialClaim);
     m_services.quotaClient.cancel(m_endpointReservation);
-    m_services.streamVersions.cancelLookup(m_versionLookup);
+    m_services.streamVersions.lookups().cancel(m_versionLookup);
 }
 
 EndpointPlacement &ProxyCall::placement()
@@ -174,7 +174,7 @@
 void ProxyCall::findVersion()
 {
     const StreamVersions::Stream stream{StreamVersions::streamName(callerName(), m_request.resumes), m_service};
-    m_versionLookup = m_services.streamVersions.find(stream, [this](const std::optional<std::string> &version) {
+    m_versionLookup = m_services.streamVersions.lookups().start(stream, [this](const std::optional<std::string> &version) {
         m_versionLookup = 0;
         if (!version.has_value()) {
             fail(ErrorKind::CannotResume);
@@ -782,7 +782,7 @@
     }
     m_services.crashGuard.cancelClaim(m_trialClaim);
     m_services.quotaClient.cancel(m_endpointReservation);
-    m_services.streamVersions.cancelLookup(m_versionLookup);
+    m_services.streamVersions.lookups().cancel(m_versionLookup);
 }
 
 void ProxyCall::handleTimeout()
@@ -850,7 +850,8 @@
 {
     // A later attempt has reached the new incarnation, which states that it does not run it.
     const bool isOnItsWay = Loop::now() - m_sentAt < misdirectedAnswerTime;
-    if (m_endpoint.empty() || isOnItsWay || startName(m_endpointStart) != startName(earlier) || m_endpointStart.address != earlier.address) {
+    if (m_endpoint.empty() || isOnItsWay || startName(m_endpointStart) != startName(earlier)
+        || m_endpointStart.address != earlier.address) {
         return;
     }
     const std::string endpoint = m_endpoint;
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -53,7 +53,7 @@
     /** The shortest wait that holders of endpoints' limits have named. */
     std::optional<Duration> m_limitWait;
 
-    StreamVersions::LookupId m_versionLookup = 0;
+    VersionLookups::LookupId m_versionLookup = 0;
     StreamHold m_streamHold;
     /** The software version of the endpoint that the current attempt was sent to. */
     std::string m_sentVersion;
--- a/main/proxy/streamversions.cpp
+++ b/main/proxy/streamversions.cpp
@@ -30,6 +30,8 @@
 // Bounds the transactions for records of all daemons together to a hundred per second.
 constexpr Duration batchIntervalPerDaemon = std::chrono::milliseconds(10);
 constexpr Duration minBatchInterval = std::chrono::milliseconds(50);
+// A record is not written before the table has its version.
+constexpr Duration maxVersionWait = std::chrono::seconds(1);
 constexpr std::size_t maxRecordsPerWrite = 45;
 constexpr std::size_t maxRemovalsPerWrite = 45;
 
@@ -59,10 +61,17 @@
                                  [this](const std::vector<platform::StoreRow> &rows) {
                                      handleChanges(rows);
                                  },
-                                 [](TimePoint) {}, [](TimePoint) {},
+                                 [this](TimePoint producedAt) {
+                                     m_versions.recordConfirmed(producedAt);
+                                 },
+                                 [](TimePoint) {},
                                  [this](TimePoint now) {
                                      m_versions.recordEra(now);
                                  }})
+    , m_lookups(loop, store, log, versionTable, streamTable, m_versions, m_memory, m_feed,
+                [this](const std::vector<platform::StoreRow> &rows) {
+                    handleChanges(rows);
+                })
 {
     m_endpointFeed.onChange([this]() {
         observeList();
@@ -104,7 +113,14 @@
     const Duration offset = m_feed.clock().offset().value_or(Loop::now().time_since_epoch());
     std::vector<VersionPeriod> periods;
     for (const platform::StoreRow &row : rows) {
+        // Lookups read the table beside the feed, so a response of the feed may be older than what is known.
+        std::int64_t &readVersion = m_readVersions[row.key];
+        if (row.version < readVersion) {
+            continue;
+        }
+        readVersion = row.version;
         if (row.isDeleted) {
+            m_readVersions.erase(row.key);
             m_rowVersions.erase(row.key);
             m_versions.remove(row.key);
             continue;
@@ -127,6 +143,7 @@
 void StreamVersions::handleSnapshot(const std::vector<platform::StoreRow> &rows, bool isOfNewEra)
 {
     m_rowVersions.clear();
+    m_readVersions.clear();
     m_notedEra.reset();
     const std::vector<VersionPeriod> periods = decodeRows(rows);
     // A daemon that has started since learns from the row that the store has come back from an older copy.
@@ -284,7 +301,7 @@
     const StreamMemory::Entry *known = m_memory.find(stream.name);
     const bool isOther = known != nullptr && !isReplacement && (known->isAmbiguous || known->version != version);
     m_memory.put(stream.name, StreamMemory::Entry{stream.service, version, isOther}, Loop::now());
-    m_pending[id] = Pending{stream, version, std::move(handler), isReplacement, isOther};
+    m_pending[id] = Pending{stream, version, std::move(handler), Loop::now(), isReplacement, isOther};
     if (isOther) {
         markAmbiguous(id);
     } else {
@@ -316,10 +333,22 @@
 void StreamVersions::flush()
 {
     std::vector<RecordId> ids;
+    std::vector<RecordId> overdue;
+    bool isWaiting = false;
     for (std::pair<const RecordId, Pending> &entry : m_pending) {
-        if (std::exchange(entry.second.isSent, true)) {
+        Pending &pending = entry.second;
+        if (pending.isSent) {
             continue;
         }
+        // A daemon that finds a single version in the table does not look for records.
+        if (!m_versions.isInTable(pending.stream.service, pending.version)) {
+            isWaiting = true;
+            if (Loop::now() - pending.begunAt > maxVersionWait) {
+                overdue.push_back(entry.first);
+            }
+            continue;
+        }
+        pending.isSent = true;
         ids.push_back(entry.first);
         if (ids.size() >= maxRecordsPerWrite) {
             write(ids);
@@ -329,6 +358,14 @@
     if (!ids.empty()) {
         write(ids);
     }
+    for (const RecordId id : overdue) {
+        finishRecord(id, false);
+    }
+    if (isWaiting) {
+        m_versionsDueAt = Loop::now();
+        updateVersions();
+        scheduleFlush();
+    }
 }
 
 std::vector<platform::StoreTransaction::RowName> StreamVersions::takeRemovals()
@@ -430,69 +467,9 @@
     });
 }
 
-StreamVersions::LookupId StreamVersions::find(const Stream &stream, LookupHandler handler)
-{
-    const LookupId id = ++m_lastId;
-    m_lookups[id] = std::move(handler);
-    const TimePoint now = Loop::now();
-    const StreamMemory::Entry *known = m_memory.find(stream.name);
-    // With a single version there are no records.
-    const bool hasRecords = !m_versions.onlyVersion(stream.service, now).has_value();
-    if (known == nullptr && m_hasSnapshot && hasRecords) {
-        readRecord(id, stream);
-        return id;
-    }
-    std::optional<std::string> version;
-    if (known == nullptr) {
-        version = m_hasSnapshot ? m_versions.unrecordedVersion(stream.service, now) : std::nullopt;
-    } else if (!known->isAmbiguous && known->service == stream.service) {
-        version = known->version;
-    }
-    m_loop.timers().subscribeOnce(Duration::zero(), [this, id, stream, version](TimePoint) {
-        finishLookup(id, stream, version, "known");
-    });
-    return id;
-}
-
-void StreamVersions::readRecord(LookupId id, const Stream &stream)
-{
-    m_store.readRow(streamTable, stream.name, [this, id, stream](const platform::StoreReply &reply) {
-        if (reply.failure.has_value()) {
-            finishLookup(id, stream, std::nullopt, "table not read");
-            return;
-        }
-        if (reply.rows.rows.empty() && reply.era != m_feed.era()) {
-            // The table has come back from an older copy, which may lack the record.
-            finishLookup(id, stream, std::nullopt, "no record in a new era");
-            return;
-        }
-        if (reply.rows.rows.empty()) {
-            finishLookup(id, stream, m_versions.unrecordedVersion(stream.service, Loop::now()), "no record");
-            return;
-        }
-        const std::optional<StreamRecord> record
-            = decodeStreamRecord(reply.rows.rows.front().value, m_feed.clock().offset().value_or(Duration::zero()));
-        const bool isCertain = record.has_value() && !record->isAmbiguous && record->service == stream.service;
-        finishLookup(id, stream, isCertain ? std::optional<std::string>(record->version) : std::nullopt, "record");
-    });
-}
-
-void StreamVersions::finishLookup(LookupId id, const Stream &stream, const std::optional<std::string> &version, const char *source)
-{
-    const auto found = m_lookups.find(id);
-    if (found == m_lookups.end()) {
-        return;
-    }
-    m_log.write("versions", version.has_value() ? "version of a stream found" : "version of a stream unknown",
-                {{"stream", stream.name}, {"service", stream.service}, {"version", version.value_or("")}, {"source", source}});
-    const LookupHandler handler = std::move(found->second);
-    m_lookups.erase(found);
-    handler(version);
-}
-
-void StreamVersions::cancelLookup(LookupId id)
+VersionLookups &StreamVersions::lookups()
 {
-    m_lookups.erase(id);
+    return m_lookups;
 }
 
 }
--- a/main/proxy/streamversions.h
+++ b/main/proxy/streamversions.h
@@ -4,6 +4,7 @@
 #include "drivers/versionrowjson.h"
 #include "main/feeds/endpointfeed.h"
 #include "main/feeds/storefeed.h"
+#include "main/proxy/versionlookups.h"
 #include "servers/softwareversions.h"
 #include "servers/streammemory.h"
 
@@ -28,19 +29,9 @@
 {
 public:
     using RecordId = std::uint64_t;
-    using LookupId = std::uint64_t;
     /** Receives whether the record is in the table. */
     using RecordHandler = std::function<void(bool isRecorded)>;
-    /** Receives the version that began the stream; nullopt if it is not certain. */
-    using LookupHandler = std::function<void(const std::optional<std::string> &version)>;
-
-    /** Names one stream of a service. */
-    struct Stream
-    {
-        /** See streamName(). */
-        std::string name;
-        std::string service;
-    };
+    using Stream = VersionLookups::Stream;
 
 private:
     struct Pending
@@ -48,6 +39,7 @@
         Stream stream;
         std::string version;
         RecordHandler handler;
+        TimePoint begunAt{};
         /** Replaces the record of an earlier attempt of the same request. */
         bool isReplacement = false;
         bool isSent = false;
@@ -62,11 +54,14 @@
     SoftwareVersions m_versions;
     StreamMemory m_memory;
     StoreFeed m_feed;
+    VersionLookups m_lookups;
     std::function<void()> m_readyHandler;
     bool m_isReady = false;
     bool m_hasSnapshot = false;
     /** The versions of the rows in the table of versions, by key. */
     std::map<std::string, std::int64_t> m_rowVersions;
+    /** The newest versions in which the rows were read, by key. */
+    std::map<std::string, std::int64_t> m_readVersions;
     /** The era of the store that the table notes; nullopt if it has no such row. */
     std::optional<std::int64_t> m_notedEra;
     TimePoint m_eraNoticedAt = timeNever;
@@ -77,7 +72,6 @@
     std::map<RecordId, Pending> m_pending;
     RecordId m_lastId = 0;
     bool m_isFlushScheduled = false;
-    std::map<LookupId, LookupHandler> m_lookups;
     /** The names of own records, and when they may be removed. */
     std::deque<std::pair<TimePoint, std::string>> m_removals;
     /** Where the next search for records of ended daemons begins. */
@@ -100,8 +94,6 @@
     void finishRecord(RecordId id, bool isRecorded);
     std::vector<platform::StoreTransaction::RowName> takeRemovals();
     void sweep();
-    void finishLookup(LookupId id, const Stream &stream, const std::optional<std::string> &version, const char *source);
-    void readRecord(LookupId id, const Stream &stream);
 
 public:
     /**
@@ -130,9 +122,7 @@
     /** The handler of this record is not called any more. */
     void cancelRecord(RecordId id);
 
-    /** Finds the version that began a stream. The handler is called asynchronously. */
-    LookupId find(const Stream &stream, LookupHandler handler);
-    void cancelLookup(LookupId id);
+    VersionLookups &lookups();
 };
 
 }
--- a/servers/softwareversions.cpp
+++ b/servers/softwareversions.cpp
@@ -186,6 +186,25 @@
     return before.size() == 1 ? std::optional<std::string>(*before.begin()) : std::nullopt;
 }
 
+void SoftwareVersions::recordConfirmed(TimePoint at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, at);
+}
+
+SoftwareVersions::LookupStep SoftwareVersions::nextLookupStep(const std::string &service, TimePoint askedAt, TimePoint now) const
+{
+    if (m_confirmedAt == timeNever || m_confirmedAt < askedAt) {
+        return LookupStep::ReadVersions;
+    }
+    // With a single version there are no records.
+    return onlyVersion(service, now).has_value() ? LookupStep::Conclude : LookupStep::ReadRecord;
+}
+
+bool SoftwareVersions::isInTable(const std::string &service, const std::string &version) const
+{
+    return isInUse(service, version) && m_lost.count({service, version}) == 0;
+}
+
 SoftwareVersions::RecordNeed SoftwareVersions::recordNeed(const std::string &service, const std::string &version, TimePoint now) const
 {
     const std::optional<std::string> unrecorded = versionWithoutRecord(service, now);
--- a/servers/softwareversions.h
+++ b/servers/softwareversions.h
@@ -60,6 +60,16 @@
         Required,
     };
 
+    /** What has to be done next to find the version of a stream that this daemon has not recorded. */
+    enum class LookupStep {
+        /** The periods may be older than the stream: the table of versions has to be read. */
+        ReadVersions,
+        /** Several versions may have begun the stream: its record has to be read. */
+        ReadRecord,
+        /** unrecordedVersion() is the answer. */
+        Conclude,
+    };
+
 private:
     using Name = std::pair<std::string, std::string>;
 
@@ -71,6 +81,8 @@
     /** Periods that the table has lost. */
     std::set<Name> m_lost;
     TimePoint m_eraBegan = timeNever;
+    /** The table had no other periods at this time; timeNever before it was read. */
+    TimePoint m_confirmedAt = timeNever;
 
     /** Whether the table says that streams begin at this version. */
     bool isInUse(const std::string &service, const std::string &version) const;
@@ -100,6 +112,18 @@
     /** The keys of rows that no longer matter. */
     std::vector<std::string> obsoleteKeys(TimePoint now) const;
 
+    /** The table had no other periods at @p at than those applied. */
+    void recordConfirmed(TimePoint at);
+
+    /**
+     * @param askedAt when the caller took the stream up. A version that the periods lack may have begun the stream until then: another
+     *        daemon may have seen it while this one was paused or had no connection to the table.
+     */
+    LookupStep nextLookupStep(const std::string &service, TimePoint askedAt, TimePoint now) const;
+
+    /** Whether a daemon that reads the table learns that streams begin at this version, and looks for their records. */
+    bool isInTable(const std::string &service, const std::string &version) const;
+
     RecordNeed recordNeed(const std::string &service, const std::string &version, TimePoint now) const;
 
     /** The only version at which streams of the service can have begun; nullopt if there are several or none. */
--- a/tests/fakes/crashfleet.h
+++ b/tests/fakes/crashfleet.h
@@ -96,7 +96,12 @@
     ProxyRole role;
 
     explicit Daemon(int number)
-        : core(settingsOf(number))
+        : Daemon(settingsOf(number))
+    {
+    }
+
+    explicit Daemon(const Settings &settings)
+        : core(settings)
         , links(core)
         , role(core, links, *core.settings().platform)
     {
--- a/tests/fakes/versionsimulation.h
+++ b/tests/fakes/versionsimulation.h
@@ -33,6 +33,10 @@
         bool ignoresFailedRecords = false;
         /** A new era of the table is not noticed. */
         bool ignoresEras = false;
+        /** What is known of versions is believed for streams that began after the table was last read. */
+        bool trustsOldPeriods = false;
+        /** Streams are recorded although the table does not have their version yet. */
+        bool recordsBeforeVersion = false;
     };
 
     struct Daemon
@@ -48,6 +52,10 @@
         bool isWriting = false;
         /** Rows and lists arrive this much later. */
         Duration lag{};
+        /** Until then the daemon has no connection to the table. */
+        TimePoint cutUntil{};
+        /** Until then the daemon stands still. */
+        TimePoint pausedUntil{};
     };
 
     EventScheduler scheduler;
@@ -63,7 +71,12 @@
     std::map<std::string, VersionPeriod> copiedPeriods;
     std::map<int, std::string> copiedRecords;
 
+    /** How long streams run until they break off, in milliseconds. */
+    std::int64_t minLength = 50;
+    std::int64_t maxLength = 15000;
+
     int begun = 0;
+    /** Streams that were taken up at daemons which are in step. */
     int takenUp = 0;
     int joined = 0;
     int resolved = 0;
@@ -83,16 +96,26 @@
     {
         inService = std::move(versions);
         for (std::size_t i = 0; i < daemons.size(); ++i) {
-            const int incarnation = daemons[i].incarnation;
-            const std::set<std::string> listed = inService;
-            scheduler.scheduleAfter(daemons[i].lag + milliseconds(5, 600), [this, i, incarnation]() {
-                if (daemons[i].incarnation == incarnation) {
-                    observe(i);
-                }
-            });
+            scheduleObservation(i);
         }
     }
 
+    bool isCut(const Daemon &daemon) const
+    {
+        return isTableDown || now() < daemon.cutUntil;
+    }
+
+    bool isPaused(const Daemon &daemon) const
+    {
+        return now() < daemon.pausedUntil;
+    }
+
+    /** Whether the daemon has been running with a connection to the table. */
+    bool isInStep(const Daemon &daemon) const
+    {
+        return daemon.isUp && daemon.hasSnapshot && !isCut(daemon) && !isPaused(daemon);
+    }
+
     void killAll()
     {
         for (std::size_t i = 0; i < daemons.size(); ++i) {
@@ -141,7 +164,7 @@
     {
         const std::size_t index = randomDaemon();
         Daemon &daemon = daemons[index];
-        if (!daemon.isUp || !daemon.hasSnapshot) {
+        if (!daemon.isUp || !daemon.hasSnapshot || isPaused(daemon)) {
             return;
         }
         std::vector<std::string> usable;
@@ -162,23 +185,28 @@
             begin(id, version);
             return;
         }
-        const int incarnation = daemon.incarnation;
-        const bool isRequired = need == SoftwareVersions::RecordNeed::Required;
-        scheduler.scheduleAfter(milliseconds(4, 150), [this, id, version, index, incarnation, isRequired]() {
-            const bool isRecorded = !isTableDown;
-            if (isRecorded) {
-                records[id] = version;
-            }
-            if (daemons[index].incarnation == incarnation && (isRecorded || !isRequired || faults.ignoresFailedRecords)) {
-                begin(id, version);
-            }
-        });
+        record(Beginning{id, version, index, daemon.incarnation, need == SoftwareVersions::RecordNeed::Required, now()});
     }
 
 private:
     static constexpr const char *service = "engines";
     int m_lastStream = 0;
 
+    void scheduleObservation(std::size_t index)
+    {
+        const int incarnation = daemons[index].incarnation;
+        scheduler.scheduleAfter(daemons[index].lag + milliseconds(5, 600), [this, index, incarnation]() {
+            if (daemons[index].incarnation != incarnation) {
+                return;
+            }
+            if (isCut(daemons[index]) || isPaused(daemons[index])) {
+                scheduleObservation(index);
+                return;
+            }
+            observe(index);
+        });
+    }
+
     Duration milliseconds(std::int64_t low, std::int64_t high)
     {
         return std::chrono::milliseconds(scheduler.randomInteger(low, high));
@@ -207,7 +235,10 @@
             daemon.listed.emplace(service, version);
         }
         daemon.versions.observe(daemon.listed, now());
-        update(index);
+        // The daemons spread their writes.
+        scheduler.scheduleAfter(milliseconds(0, 250), [this, index]() {
+            update(index);
+        });
     }
 
     void read(std::size_t index)
@@ -218,7 +249,7 @@
             if (daemon.incarnation != incarnation || !daemon.isUp) {
                 return;
             }
-            if (isTableDown) {
+            if (isCut(daemon) || isPaused(daemon)) {
                 read(index);
                 return;
             }
@@ -248,7 +279,7 @@
     void update(std::size_t index)
     {
         Daemon &daemon = daemons[index];
-        if (!daemon.isUp || !daemon.hasSnapshot || daemon.isWriting) {
+        if (!daemon.isUp || !daemon.hasSnapshot || daemon.isWriting || isPaused(daemon)) {
             return;
         }
         const std::vector<VersionPeriod> changes = daemon.versions.dueChanges(now());
@@ -259,13 +290,13 @@
         const int incarnation = daemon.incarnation;
         const std::map<std::string, VersionPeriod> known = daemon.rows;
         scheduler.scheduleAfter(daemon.lag + milliseconds(2, 40), [this, index, incarnation, changes, known]() {
-            const bool isApplied = !isTableDown && std::all_of(changes.begin(), changes.end(), [&](const VersionPeriod &change) {
+            const bool isApplied = !isCut(daemons[index]) && std::all_of(changes.begin(), changes.end(), [&](const VersionPeriod &change) {
                 return isSame(known, versionRowKey(change));
             });
             if (isApplied) {
                 for (const VersionPeriod &change : changes) {
                     periods[versionRowKey(change)] = change;
-                    deliver(change);
+                    deliver(versionRowKey(change));
                 }
             }
             if (daemons[index].incarnation == incarnation) {
@@ -290,32 +321,88 @@
         return before->second.from == current->second.from && before->second.until == current->second.until;
     }
 
-    void deliver(const VersionPeriod &period)
+    void deliver(const std::string &key)
     {
         for (std::size_t i = 0; i < daemons.size(); ++i) {
-            const int incarnation = daemons[i].incarnation;
-            const int writtenEra = era;
-            scheduler.scheduleAfter(daemons[i].lag + milliseconds(5, 60), [this, i, incarnation, period, writtenEra]() {
-                if (daemons[i].incarnation == incarnation && daemons[i].hasSnapshot && writtenEra == era) {
-                    daemons[i].rows[versionRowKey(period)] = period;
-                    daemons[i].versions.apply(period, now());
-                    update(i);
-                }
-            });
+            deliverTo(i, key, daemons[i].incarnation, era);
         }
     }
 
+    void deliverTo(std::size_t index, const std::string &key, int incarnation, int writtenEra)
+    {
+        scheduler.scheduleAfter(daemons[index].lag + milliseconds(5, 60), [this, index, key, incarnation, writtenEra]() {
+            Daemon &daemon = daemons[index];
+            if (daemon.incarnation != incarnation || writtenEra != era) {
+                return;
+            }
+            if (isCut(daemon) || isPaused(daemon)) {
+                deliverTo(index, key, incarnation, writtenEra);
+                return;
+            }
+            const auto row = periods.find(key);
+            if (daemon.hasSnapshot && row != periods.end()) {
+                daemon.rows[key] = row->second;
+                daemon.versions.apply(row->second, now());
+                update(index);
+            }
+        });
+    }
+
+    /** A stream that begins once it is recorded. */
+    struct Beginning
+    {
+        int id = 0;
+        std::string version;
+        std::size_t daemon = 0;
+        int incarnation = 0;
+        bool isRequired = false;
+        TimePoint since{};
+    };
+
+    void record(const Beginning &beginning)
+    {
+        scheduler.scheduleAfter(milliseconds(4, 150), [this, beginning]() {
+            Daemon &daemon = daemons[beginning.daemon];
+            if (daemon.incarnation != beginning.incarnation) {
+                return;
+            }
+            const bool isVersionKnown = faults.recordsBeforeVersion || daemon.versions.isInTable(service, beginning.version);
+            if (!isVersionKnown && now() - beginning.since < std::chrono::seconds(1)) {
+                update(beginning.daemon);
+                record(beginning);
+                return;
+            }
+            const bool isRecorded = isVersionKnown && !isCut(daemon) && !isPaused(daemon);
+            if (isRecorded) {
+                records[beginning.id] = beginning.version;
+            }
+            if (isRecorded || !beginning.isRequired || faults.ignoresFailedRecords) {
+                begin(beginning.id, beginning.version);
+            }
+        });
+    }
+
     void begin(int id, const std::string &version)
     {
         ++begun;
-        scheduler.scheduleAfter(milliseconds(50, 15000), [this, id, version]() {
+        scheduler.scheduleAfter(milliseconds(minLength, maxLength), [this, id, version]() {
             takeUp(id, version, 3);
         });
     }
 
     void takeUp(int id, const std::string &version, int tries)
     {
-        Daemon &daemon = daemons[randomDaemon()];
+        const std::size_t index = randomDaemon();
+        Daemon &daemon = daemons[index];
+        if (isPaused(daemon)) {
+            // The request waits, and is the first that the daemon handles when it goes on.
+            scheduler.scheduleAfter(daemon.pausedUntil - now(), [this, id, version, index, incarnation = daemon.incarnation]() {
+                if (daemons[index].incarnation == incarnation && daemons[index].hasSnapshot) {
+                    ask(index, id, version);
+                }
+            });
+            return;
+        }
         if (!daemon.isUp || !daemon.hasSnapshot || isTableDown) {
             if (tries > 1) {
                 scheduler.scheduleAfter(milliseconds(300, 900), [this, id, version, tries]() {
@@ -324,18 +411,92 @@
             }
             return;
         }
-        ++takenUp;
-        const auto record = records.find(id);
+        ask(index, id, version);
+    }
+
+    /** A stream that is taken up at a daemon. */
+    struct Question
+    {
+        int id = 0;
+        /** The version that began it. */
+        std::string version;
+        TimePoint askedAt{};
+        std::size_t daemon = 0;
+        int incarnation = 0;
+        /** Whether the daemon has to be able to answer. */
+        bool isInStep = false;
+    };
+
+    void ask(std::size_t index, int id, const std::string &version)
+    {
+        const Daemon &daemon = daemons[index];
+        const Question question{id, version, now(), index, daemon.incarnation, isInStep(daemon)};
+        takenUp += question.isInStep ? 1 : 0;
+        advance(question);
+    }
+
+    void advance(const Question &question)
+    {
+        const Daemon &daemon = daemons[question.daemon];
+        SoftwareVersions::LookupStep step = daemon.versions.nextLookupStep(service, question.askedAt, now());
+        if (faults.trustsOldPeriods && step == SoftwareVersions::LookupStep::ReadVersions) {
+            const bool isSingle = daemon.versions.onlyVersion(service, now()).has_value();
+            step = isSingle ? SoftwareVersions::LookupStep::Conclude : SoftwareVersions::LookupStep::ReadRecord;
+        }
+        if (step == SoftwareVersions::LookupStep::Conclude) {
+            conclude(question, daemon.versions.unrecordedVersion(service, now()));
+            return;
+        }
+        const TimePoint sentAt = now();
+        scheduler.scheduleAfter(milliseconds(1, 15), [this, question, step, sentAt]() {
+            if (isCut(daemons[question.daemon])) {
+                return;
+            }
+            const auto record = records.find(question.id);
+            const std::optional<std::string> recorded = record == records.end() ? std::nullopt : std::optional<std::string>(record->second);
+            scheduler.scheduleAfter(milliseconds(1, 15), [this, question, step, sentAt, recorded, rows = periods, readEra = era]() {
+                if (step == SoftwareVersions::LookupStep::ReadRecord) {
+                    handleRecord(question, recorded, readEra);
+                } else {
+                    handlePeriods(question, rows, readEra, sentAt);
+                }
+            });
+        });
+    }
+
+    void handlePeriods(const Question &question, const std::map<std::string, VersionPeriod> &rows, int readEra, TimePoint sentAt)
+    {
+        Daemon &daemon = daemons[question.daemon];
         // The reply of the table states its era.
-        const bool isEraKnown = daemon.era == era || faults.ignoresEras;
-        std::optional<std::string> found;
-        if (record != records.end()) {
-            found = record->second;
-        } else if (isEraKnown) {
-            found = daemon.versions.unrecordedVersion(service, now());
+        const bool isEraKnown = daemon.era == readEra || faults.ignoresEras;
+        if (daemon.incarnation != question.incarnation || !isEraKnown) {
+            return;
+        }
+        for (const std::pair<const std::string, VersionPeriod> &row : rows) {
+            daemon.rows[row.first] = row.second;
+            daemon.versions.apply(row.second, now());
         }
-        resolved += found.has_value() ? 1 : 0;
-        joined += found.has_value() && *found != version ? 1 : 0;
+        daemon.versions.recordConfirmed(sentAt);
+        advance(question);
+    }
+
+    void handleRecord(const Question &question, const std::optional<std::string> &recorded, int readEra)
+    {
+        const Daemon &daemon = daemons[question.daemon];
+        if (daemon.incarnation != question.incarnation) {
+            return;
+        }
+        if (recorded.has_value()) {
+            conclude(question, recorded);
+        } else if (daemon.era == readEra || faults.ignoresEras) {
+            conclude(question, daemon.versions.unrecordedVersion(service, now()));
+        }
+    }
+
+    void conclude(const Question &question, const std::optional<std::string> &found)
+    {
+        resolved += found.has_value() && question.isInStep ? 1 : 0;
+        joined += found.has_value() && *found != question.version ? 1 : 0;
     }
 };
 
--- a/tests/main/joinedversions_test.cpp
+++ b/tests/main/joinedversions_test.cpp
@@ -1,4 +1,5 @@
 #include "tests/fakes/crashfleet.h"
+#include "tests/soak/faultproxy.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,10 +14,13 @@
 using crashfleet::daemonCount;
 using crashfleet::settingsOf;
 using Behaviour = FakeEndpoint::Behaviour;
+using soak::FaultProxy;
 
 namespace
 {
 
+constexpr int storeLinkPort = crashfleet::firstDaemonPort + crashfleet::portsPerDaemon * daemonCount;
+
 struct Stream
 {
     bool isDone = false;
@@ -41,21 +45,29 @@
 {
     Loop loop;
     FakeStore store;
+    /** The first daemon reaches the store through it. */
+    FaultProxy storeLink;
     HttpPool callers;
     std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
     std::vector<std::string> versions;
     std::vector<std::unique_ptr<crashfleet::Daemon>> daemons;
     int requestCount = 0;
+    /** Whether the first daemon stands still. */
+    bool isPaused = false;
 
-    explicit VersionFleet(std::vector<std::string> softwareVersions)
+    /** @param listedCount how many of the endpoints are listed at first */
+    explicit VersionFleet(std::vector<std::string> softwareVersions, std::size_t listedCount = 100)
         : store(loop, parseSocketAddress(addressOf(crashfleet::storePort)))
+        , storeLink(loop, parseSocketAddress(addressOf(storeLinkPort)), parseSocketAddress(addressOf(crashfleet::storePort)))
         , callers(loop)
         , versions(std::move(softwareVersions))
     {
         store.put("op", "config", crashfleet::configText());
         for (std::size_t i = 0; i < versions.size(); ++i) {
             endpoints.push_back(std::make_unique<FakeEndpoint>(loop, parseSocketAddress(endpointAddress(i)), endpointId(i)));
-            list(i);
+            if (i < listedCount) {
+                list(i);
+            }
         }
         startDaemons();
     }
@@ -93,7 +105,11 @@
     {
         daemons.clear();
         for (int i = 0; i < daemonCount; ++i) {
-            daemons.push_back(std::make_unique<crashfleet::Daemon>(i));
+            Settings settings = settingsOf(i);
+            if (i == 0) {
+                settings.table = addressOf(storeLinkPort);
+            }
+            daemons.push_back(std::make_unique<crashfleet::Daemon>(settings));
             REQUIRE(daemons.back()->role.open());
         }
         REQUIRE(runUntil([this]() {
@@ -108,8 +124,8 @@
         const TimePoint deadline = Loop::now() + std::chrono::seconds(20);
         while (!isDone() && Loop::now() < deadline) {
             runBriefly(loop);
-            for (const std::unique_ptr<crashfleet::Daemon> &daemon : daemons) {
-                runBriefly(daemon->core.loop());
+            for (std::size_t i = isPaused ? 1 : 0; i < daemons.size(); ++i) {
+                runBriefly(daemons[i]->core.loop());
             }
         }
         return isDone();
@@ -134,9 +150,15 @@
     /** Sends a request to a daemon in turn. With @p resumes or @p lastEventId it takes a stream up. */
     Stream stream(const std::string &lastEventId = std::string(), const std::string &resumes = std::string(),
                   const std::string &key = "key")
+    {
+        return streamAt((requestCount + 1) % daemonCount, lastEventId, resumes, key);
+    }
+
+    Stream streamAt(int daemon, const std::string &lastEventId = std::string(), const std::string &resumes = std::string(),
+                    const std::string &key = "key")
     {
         HttpCall call;
-        const int daemon = ++requestCount % daemonCount;
+        ++requestCount;
         call.target = parseSocketAddress(settingsOf(daemon).httpListen);
         call.poolKey = "request " + std::to_string(requestCount);
         call.head.method = "POST";
@@ -190,6 +212,23 @@
         REQUIRE(broken.size() == count);
         return broken;
     }
+
+    /** A new version joins, and streams begin at it through the other daemons and are broken off. */
+    std::vector<Stream> breakStreamsAtNewVersion(std::size_t index, std::size_t count)
+    {
+        endpoints[index]->behaviour = Behaviour::AbortInEvent;
+        list(index);
+        runFor(std::chrono::milliseconds(1500));
+        std::vector<Stream> broken;
+        for (int i = 0; i < 60 && broken.size() < count; ++i) {
+            const Stream begun = streamAt(1 + i % (daemonCount - 1));
+            if (begun.result == HttpCallResult::Broken && begun.hasPiece(2)) {
+                broken.push_back(begun);
+            }
+        }
+        REQUIRE(broken.size() == count);
+        return broken;
+    }
 };
 
 }
@@ -284,3 +323,51 @@
     }
     CHECK(fleet.takeUps(2) == 0);
 }
+
+TEST_CASE("[JoinedVersions] A daemon that was cut from the store while a new version joined takes no stream of it up at the old one")
+{
+    const FaultProxy::Mode mode = GENERATE(FaultProxy::Mode::DropBoth, FaultProxy::Mode::DropToClient, FaultProxy::Mode::Reset);
+    VersionFleet fleet({"v1", "v2"}, 1);
+    fleet.storeLink.setMode(mode);
+    const std::vector<Stream> broken = fleet.breakStreamsAtNewVersion(1, 2);
+    for (const Stream &stream : broken) {
+        CHECK(fleet.streamAt(0, "2", stream.id).status == 503);
+    }
+    fleet.storeLink.setMode(FaultProxy::Mode::Pass);
+    for (const Stream &stream : broken) {
+        fleet.streamAt(0, "2", stream.id);
+    }
+    CHECK(fleet.takeUps(0) == 0);
+    // New streams begin at either version throughout.
+    CHECK(fleet.streamAt(0).hasPiece(1));
+}
+
+TEST_CASE("[JoinedVersions] A daemon that stood still while a new version joined takes no stream of it up at the old one")
+{
+    VersionFleet fleet({"v1", "v2"}, 1);
+    fleet.isPaused = true;
+    const std::vector<Stream> broken = fleet.breakStreamsAtNewVersion(1, 2);
+    fleet.isPaused = false;
+    for (const Stream &stream : broken) {
+        fleet.streamAt(0, "2", stream.id);
+    }
+    CHECK(fleet.takeUps(0) == 0);
+}
+
+TEST_CASE("[JoinedVersions] A daemon that can't read the versions begins streams, and takes them up again once it can")
+{
+    VersionFleet fleet({"v1", "v1"});
+    fleet.endpoints[0]->behaviour = Behaviour::AbortInEvent;
+    fleet.endpoints[1]->behaviour = Behaviour::AbortInEvent;
+    const std::vector<Stream> broken = fleet.breakStreams(3);
+    fleet.endpoints[0]->behaviour = Behaviour::SendStream;
+    fleet.endpoints[1]->behaviour = Behaviour::SendStream;
+    fleet.storeLink.setMode(FaultProxy::Mode::Reset);
+    CHECK(fleet.streamAt(0).isComplete());
+    const TimePoint begin = Loop::now();
+    CHECK(fleet.streamAt(0, "2", broken[0].id).status == 503);
+    CHECK(Loop::now() - begin < std::chrono::seconds(1));
+    CHECK(fleet.streamAt(1, "2", broken[1].id).isComplete());
+    fleet.storeLink.setMode(FaultProxy::Mode::Pass);
+    CHECK(fleet.streamAt(0, "2", broken[2].id).isComplete());
+}
--- a/tests/servers/softwareversions_test.cpp
+++ b/tests/servers/softwareversions_test.cpp
@@ -124,6 +124,88 @@
     CHECK(findJoined(faults) != 0);
 }
 
+namespace
+{
+
+/** A new version joins while daemons are cut from the table, stand still or start, for 0.5 to 6 s before, while and after it comes. */
+Outcome playOutOfStep(std::uint64_t seed, int daemonCount, VersionSimulation::Faults faults)
+{
+    VersionSimulation fleet(seed, daemonCount);
+    fleet.faults = faults;
+    fleet.maxLength = seed % 2 == 0 ? 3000 : 120;
+    fleet.inService = {"v1"};
+    fleet.start();
+    play(fleet, std::chrono::seconds(5));
+    int newest = 1;
+    for (int round = 0; round < 6; ++round) {
+        const bool areAllButOne = fleet.scheduler.randomBool(0.3);
+        const std::size_t exception = static_cast<std::size_t>(fleet.scheduler.randomInteger(0, daemonCount - 1));
+        for (std::size_t i = 0; i < fleet.daemons.size(); ++i) {
+            const bool isHit = areAllButOne ? i != exception : fleet.scheduler.randomBool(0.4);
+            if (!isHit) {
+                continue;
+            }
+            const int kind = static_cast<int>(fleet.scheduler.randomInteger(0, 3));
+            const Duration length = std::chrono::milliseconds(fleet.scheduler.randomInteger(500, 6000));
+            fleet.scheduler.scheduleAfter(std::chrono::milliseconds(fleet.scheduler.randomInteger(0, 4000)), [&fleet, i, kind, length]() {
+                VersionSimulation::Daemon &daemon = fleet.daemons[i];
+                daemon.cutUntil = kind != 1 ? fleet.now() + length : daemon.cutUntil;
+                daemon.pausedUntil = kind == 1 || kind == 2 ? fleet.now() + length : daemon.pausedUntil;
+                if (kind == 3) {
+                    fleet.kill(i);
+                }
+            });
+        }
+        fleet.scheduler.scheduleAfter(std::chrono::milliseconds(fleet.scheduler.randomInteger(0, 4000)), [&fleet, &newest]() {
+            std::set<std::string> versions = fleet.inService;
+            versions.insert("v" + std::to_string(++newest));
+            fleet.setInService(versions);
+            // Its first endpoint may be gone again before all daemons are back.
+            if (fleet.scheduler.randomBool(0.4)) {
+                versions.erase(std::prev(versions.end()));
+                fleet.scheduler.scheduleAfter(std::chrono::milliseconds(fleet.scheduler.randomInteger(300, 3000)), [&fleet, versions]() {
+                    fleet.setInService(versions);
+                });
+            }
+        });
+        play(fleet, std::chrono::seconds(12));
+        if (fleet.inService.size() > 1 && fleet.scheduler.randomBool(0.5)) {
+            fleet.setInService({*fleet.inService.rbegin()});
+        }
+        play(fleet, std::chrono::seconds(fleet.scheduler.randomInteger(0, 1) * 70));
+    }
+    fleet.scheduler.runFor(std::chrono::seconds(20));
+    return Outcome{fleet.joined, fleet.takenUp == 0 ? 0 : static_cast<double>(fleet.resolved) / fleet.takenUp};
+}
+
+}
+
+TEST_CASE("[SoftwareVersions] A daemon that is out of step while a new version joins takes no stream of it for one of the old version")
+{
+    const int daemonCount = GENERATE(3, 33);
+    const std::uint64_t failingSeed = findFailingSeed(Seeds(daemonCount == 3 ? 60 : 12), [&](std::uint64_t seed) {
+        const Outcome outcome = playOutOfStep(seed, daemonCount, VersionSimulation::Faults());
+        return outcome.joined == 0 && outcome.resolvedShare >= 0.5;
+    });
+    INFO("daemons " << daemonCount);
+    CHECK(failingSeed == 0);
+}
+
+TEST_CASE("[SoftwareVersions] Daemons that trust old periods, or record streams before their version, join streams")
+{
+    const auto findJoined = [](const VersionSimulation::Faults &faults) {
+        return findFailingSeed(Seeds(60), [&](std::uint64_t seed) {
+            return playOutOfStep(seed, 3, faults).joined == 0;
+        });
+    };
+    VersionSimulation::Faults faults;
+    faults.trustsOldPeriods = true;
+    CHECK(findJoined(faults) != 0);
+    faults = VersionSimulation::Faults();
+    faults.recordsBeforeVersion = true;
+    CHECK(findJoined(faults) != 0);
+}
+
 TEST_CASE("[SoftwareVersions] A single version needs no records, a new one needs them, and two that stay need them both")
 {
     SoftwareVersions versions{SoftwareVersions::Settings()};
