--- a/core/time.h
+++ b/core/time.h
@@ -33,10 +33,19 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/** Converts @p seconds to the resolution of Duration, rounded towards zero. */
+/** The longest time that fromSeconds() returns: a century. */
+constexpr Duration maxDuration = std::chrono::hours(24 * 36525);
+
+/** Converts @p seconds to the resolution of Duration, rounded towards zero and limited to maxDuration; zero if it is not a number. */
 constexpr Duration fromSeconds(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const std::chrono::duration<double> limit = maxDuration;
+    const std::chrono::duration<double> time(seconds);
+    if (time >= limit || time <= -limit) {
+        return time >= limit ? maxDuration : -maxDuration;
+    }
+    // Not a number compares unequal to itself.
+    return seconds == seconds ? std::chrono::duration_cast<Duration>(time) : Duration::zero();
 }
 
 }
--- a/drivers/crashrowjson.cpp
+++ b/drivers/crashrowjson.cpp
@@ -1,5 +1,7 @@
 #include "drivers/crashrowjson.h"
 
+#include "drivers/jsonnumber.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -17,6 +19,7 @@
 constexpr std::string_view trialPrefix = "trial/";
 constexpr int suspectBase = 16;
 constexpr std::size_t sentAtIndex = 3;
+constexpr std::int64_t maxTrials = 1000000;
 
 std::optional<SuspectId> parseSuspect(std::string_view text)
 {
@@ -26,6 +29,14 @@
     return isValid ? std::optional<SuspectId>(suspect) : std::nullopt;
 }
 
+/** The time @p value; nullopt if it is of another type or out of range. */
+std::optional<TimePoint> localTime(const json &value, Duration clockOffset)
+{
+    const std::optional<std::int64_t> time = integerOf(value);
+    const bool isValid = time.has_value() && *time >= -maxDuration.count() && *time <= maxDuration.count();
+    return isValid ? std::optional<TimePoint>(Duration(*time) + clockOffset) : std::nullopt;
+}
+
 std::optional<CrashReport> decodeReport(const json &document, Duration clockOffset)
 {
     CrashReport report;
@@ -36,10 +47,14 @@
         if (!id.has_value()) {
             return std::nullopt;
         }
-        CrashSuspect suspect{*id, entry.at(2).get<bool>(), entry.at(1).get<std::int64_t>(), timeNever};
-        if (entry.size() > sentAtIndex) {
-            suspect.sentAt = TimePoint(Duration(entry.at(sentAtIndex).get<std::int64_t>()) + clockOffset);
+        const std::optional<std::int64_t> completions = integerOf(entry.at(1));
+        const bool hasSentAt = entry.size() > sentAtIndex;
+        const std::optional<TimePoint> sentAt
+            = hasSentAt ? localTime(entry.at(sentAtIndex), clockOffset) : std::optional<TimePoint>(timeNever);
+        if (!completions.has_value() || *completions < 0 || !sentAt.has_value()) {
+            return std::nullopt;
         }
+        const CrashSuspect suspect{*id, entry.at(2).get<bool>(), *completions, *sentAt};
         report.suspects.push_back(suspect);
     }
     return report;
@@ -80,7 +95,10 @@
 {
     try {
         const json document = json::parse(value);
-        const TimePoint at(Duration(document.at("atUs").get<std::int64_t>()) + clockOffset);
+        const std::optional<TimePoint> at = localTime(document.at("atUs"), clockOffset);
+        if (!at.has_value()) {
+            return std::nullopt;
+        }
         const bool isClearance = hasPrefix(key, clearancePrefix);
         if (isClearance || hasPrefix(key, trialPrefix)) {
             const std::size_t prefixSize = isClearance ? clearancePrefix.size() : trialPrefix.size();
@@ -91,15 +109,16 @@
             CrashRow row;
             row.kind = isClearance ? CrashRow::Kind::Clearance : CrashRow::Kind::Trial;
             row.suspect = *suspect;
-            row.at = at;
-            row.trialCount = isClearance ? 0 : document.at("trials").get<int>();
-            return row;
+            row.at = *at;
+            const std::optional<std::int64_t> trials = isClearance ? 0 : integerField(document, "trials", 0, maxTrials);
+            row.trialCount = static_cast<int>(trials.value_or(0));
+            return trials.has_value() ? std::optional<CrashRow>(row) : std::nullopt;
         }
         std::optional<CrashReport> report = decodeReport(document, clockOffset);
         if (!report.has_value()) {
             return std::nullopt;
         }
-        report->at = at;
+        report->at = *at;
         CrashRow row;
         row.report = std::move(*report);
         return crashRowKey(row) == key ? std::optional<CrashRow>(row) : std::nullopt;
--- a/drivers/loop.cpp
+++ b/drivers/loop.cpp
@@ -2,6 +2,9 @@
 
 #include "drivers/tcpsocket.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
 #include <charconv>
 #include <ctime>
 
@@ -13,6 +16,8 @@
 
 constexpr Duration maxSleep = std::chrono::seconds(1);
 
+constexpr int maxPort = 65535;
+
 // Longer than any request deadline, as callers set timeouts of their own.
 constexpr unsigned int connectionTimeoutSeconds = 300;
 
@@ -154,10 +159,20 @@
     address.host = text.substr(0, colon);
     const char *end = text.data() + text.size();
     const std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, address.port);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
+    if (parsed.ec != std::errc() || parsed.ptr != end || address.port < 0 || address.port > maxPort) {
         address.port = 0;
     }
     return address;
 }
 
+bool isHostAddress(const std::string &host)
+{
+    in_addr address{};
+    if (inet_pton(AF_INET, host.c_str(), &address) != 1 || host.find('\0') != std::string::npos) {
+        return false;
+    }
+    const std::uint32_t number = ntohl(address.s_addr);
+    return number != INADDR_ANY && !IN_MULTICAST(number) && !IN_BADCLASS(number);
+}
+
 }
--- a/drivers/loop.h
+++ b/drivers/loop.h
@@ -97,4 +97,7 @@
 /** Parses "address:port". The port is 0 if @p text is malformed. */
 SocketAddress parseSocketAddress(const std::string &text);
 
+/** Whether @p host is the IPv4 address of one host in dotted-decimal form; not a name, a wildcard or a group of hosts. */
+bool isHostAddress(const std::string &host);
+
 }
--- a/drivers/versionrowjson.cpp
+++ b/drivers/versionrowjson.cpp
@@ -1,5 +1,7 @@
 #include "drivers/versionrowjson.h"
 
+#include "drivers/jsonnumber.h"
+
 #include <nlohmann/json.hpp>
 
 namespace citronspar
@@ -15,9 +17,17 @@
     return (at.time_since_epoch() - clockOffset).count();
 }
 
-TimePoint localTime(const json &value, Duration clockOffset)
+/** The time in the field @p name; nullopt if it is missing, of another type or out of range. */
+std::optional<TimePoint> localTime(const json &document, const char *name, Duration clockOffset)
+{
+    const std::optional<std::int64_t> time = integerField(document, name, -maxDuration.count(), maxDuration.count());
+    return time.has_value() ? std::optional<TimePoint>(Duration(*time) + clockOffset) : std::nullopt;
+}
+
+bool hasTexts(const json &document)
 {
-    return TimePoint(Duration(value.get<std::int64_t>()) + clockOffset);
+    return document.is_object() && document.contains("service") && document.at("service").is_string() && document.contains("version")
+        && document.at("version").is_string();
 }
 
 }
@@ -33,19 +43,20 @@
 
 std::optional<VersionPeriod> decodeVersionPeriod(const std::string &key, const std::string &text, Duration clockOffset)
 {
-    try {
-        const json document = json::parse(text);
-        VersionPeriod period;
-        period.service = document.at("service").get<std::string>();
-        period.version = document.at("version").get<std::string>();
-        period.from = localTime(document.at("fromUs"), clockOffset);
-        if (document.contains("untilUs")) {
-            period.until = localTime(document.at("untilUs"), clockOffset);
-        }
-        return versionRowKey(period) == key ? std::optional<VersionPeriod>(period) : std::nullopt;
-    } catch (const json::exception &) {
+    const json document = json::parse(text, nullptr, false);
+    const std::optional<TimePoint> from = hasTexts(document) ? localTime(document, "fromUs", clockOffset) : std::nullopt;
+    if (!from.has_value()) {
         return std::nullopt;
     }
+    VersionPeriod period{document.at("service").get<std::string>(), document.at("version").get<std::string>(), *from, timeNever};
+    if (document.contains("untilUs")) {
+        const std::optional<TimePoint> until = localTime(document, "untilUs", clockOffset);
+        if (!until.has_value()) {
+            return std::nullopt;
+        }
+        period.until = *until;
+    }
+    return versionRowKey(period) == key ? std::optional<VersionPeriod>(period) : std::nullopt;
 }
 
 std::string encodeStreamRecord(const StreamRecord &record, Duration clockOffset)
@@ -59,17 +70,14 @@
 
 std::optional<StreamRecord> decodeStreamRecord(const std::string &text, Duration clockOffset)
 {
-    try {
-        const json document = json::parse(text);
-        StreamRecord record;
-        record.service = document.at("service").get<std::string>();
-        record.version = document.at("version").get<std::string>();
-        record.at = localTime(document.at("atUs"), clockOffset);
-        record.isAmbiguous = document.value("ambiguous", false);
-        return record;
-    } catch (const json::exception &) {
+    const json document = json::parse(text, nullptr, false);
+    const std::optional<TimePoint> at = hasTexts(document) ? localTime(document, "atUs", clockOffset) : std::nullopt;
+    const bool hasFlag = at.has_value() && document.contains("ambiguous");
+    if (!at.has_value() || (hasFlag && !document.at("ambiguous").is_boolean())) {
         return std::nullopt;
     }
+    return StreamRecord{document.at("service").get<std::string>(), document.at("version").get<std::string>(),
+                        hasFlag && document.at("ambiguous").get<bool>(), *at};
 }
 
 }
--- a/tests/main/foreignentries_test.cpp
+++ b/tests/main/foreignentries_test.cpp
@@ -246,3 +246,44 @@
     proxy.store.put("servers", "i-newest", entry.dump());
     CHECK(proxy.eventuallyResponds("/again/x", "good-key", 200));
 }
+
+TEST_CASE("[ForeignEntries] Odd ids and values neither end a daemon nor stop it following the list, and reach no endpoint")
+{
+    StreamFixture proxy;
+    const std::string nested(200000, '[');
+    std::vector<ForeignEntry> entries;
+    for (const std::string &id : {std::string("injected\r\nInjected: yes"), std::string("a b"), std::string("a/b"), std::string("\x01"),
+                                  std::string("\x7f"), std::string(10000, 'x'), std::string("\xc3\xbc")}) {
+        entries.push_back(ForeignEntry{id, makeEntry(endpointAddresses[1])});
+    }
+    for (const std::string &value :
+         {nested, nested + std::string(200000, ']'), std::string("{\"slots\":1e999}"), std::string("\xff\xfe"), std::string()}) {
+        entries.push_back(ForeignEntry{"odd value", value});
+    }
+    for (const char *address : {"0.0.0.0:18912", "localhost:18912", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1:0"}) {
+        entries.push_back(ForeignEntry{"odd address", makeEntry(address)});
+    }
+    for (const ForeignEntry &entry : entries) {
+        CAPTURE(entry.name.substr(0, 40));
+        proxy.store.put("servers", entry.name, entry.value);
+        proxy.runFor(listTime);
+        for (int i = 0; i < 3; ++i) {
+            CHECK(proxy.sendRequest("/again/x").head.status == 200);
+        }
+        if (entry.name == "a/b") {
+            proxy.store.put("servers", entry.name, std::string(), true);
+        }
+    }
+    proxy.store.discardHistory();
+    proxy.runFor(listTime);
+    for (const std::unique_ptr<FakeEndpoint> &endpoint : proxy.endpoints) {
+        for (const FakeEndpoint::Received &request : endpoint->received) {
+            CHECK(request.head.find("Injected") == nullptr);
+        }
+    }
+    // The list is still followed.
+    proxy.store.put("servers", "i-" + endpointAddresses[0], std::string(), true);
+    CHECK(proxy.eventuallyResponds("/again/x", "good-key", 503));
+    proxy.store.put("servers", "i-" + endpointAddresses[0], makeEntry(endpointAddresses[0]));
+    CHECK(proxy.eventuallyResponds("/again/x", "good-key", 200));
+}
