Test that a list of several pages is read from a strict store; pages on the odd entries and on paging

The fake of the store has pages and refuses targets with bytes that a URI can't hold. The check for an injected header moves to the end of its test: on the header reaches an endpoint there.

--- a/tests/fakes/platformfakes.h
+++ b/tests/fakes/platformfakes.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -59,14 +60,51 @@
         return rows;
     }
 
-    void respond(HttpListener::ExchangeId id, int status, const nlohmann::json &rows)
+    static std::string decodePercent(const std::string &text)
+    {
+        std::string decoded;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const bool isEscape = text[i] == '%' && i + 2 < text.size();
+            decoded += isEscape ? static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)) : text[i];
+            i += isEscape ? 2 : 0;
+        }
+        return decoded;
+    }
+
+    static bool isValidTarget(const std::string &target)
+    {
+        return std::all_of(target.begin(), target.end(), [](char character) {
+            return character > ' ' && character <= '~';
+        });
+    }
+
+    /** Responds with the rows whose keys are not before @p from, at most maxRowsPerPage of them. */
+    void respondWithPage(HttpListener::ExchangeId id, const std::string &table, const std::string &from)
+    {
+        nlohmann::json page = nlohmann::json::array();
+        bool isTruncated = false;
+        for (const nlohmann::json &row : rowsAfter(table, 0)) {
+            if (row.at("key").get<std::string>() < from) {
+                continue;
+            }
+            isTruncated = page.size() >= maxRowsPerPage;
+            if (isTruncated) {
+                break;
+            }
+            page.push_back(row);
+        }
+        respond(id, 200, page, isTruncated);
+    }
+
+    void respond(HttpListener::ExchangeId id, int status, const nlohmann::json &rows, bool isTruncated = false)
     {
         HttpHead head;
         head.status = status;
         head.reason = "Any";
         head.set("Store-Era", std::to_string(m_era));
         const std::int64_t nowMs = std::chrono::duration_cast<std::chrono::milliseconds>(Loop::now().time_since_epoch()).count() + 12345;
-        m_listener.respond(id, head, nlohmann::json({{"rows", rows}, {"truncated", false}, {"ver", m_version}, {"nowMs", nowMs}}).dump());
+        m_listener.respond(id, head,
+                           nlohmann::json({{"rows", rows}, {"truncated", isTruncated}, {"ver", m_version}, {"nowMs", nowMs}}).dump());
     }
 
     void handleRequest(HttpListener::ExchangeId id, const HttpIncomingRequest &request)
@@ -80,6 +118,10 @@
             return;
         }
         const std::string &target = request.head.target;
+        if (!isValidTarget(target)) {
+            respond(id, 400, nlohmann::json::array());
+            return;
+        }
         const std::string table = queryParameter(target, "table");
         if (target.rfind("/citronspar/rows-feed", 0) == 0) {
             handleFeed(id, table, std::stoll(queryParameter(target, "after")), std::stoll(queryParameter(target, "waitMs")));
@@ -88,7 +130,7 @@
                 respond(id, 200, rowsAfter(table, 0));
             });
         } else if (target.rfind("/citronspar/rows-get", 0) == 0) {
-            respond(id, 200, rowsAfter(table, 0));
+            respondWithPage(id, table, decodePercent(queryParameter(target, "from")));
         } else {
             handleTransaction(id, nlohmann::json::parse(request.body, nullptr, false));
         }
@@ -146,6 +188,7 @@
     /** Whether requests get status 503. */
     bool isUnavailable = false;
     int requestCount = 0;
+    std::size_t maxRowsPerPage = 500;
     /** The snapshot of this table is sent 30 ms late. */
     std::string delayedTable;
     /** Feed requests whose "after" parameter is below this version get status 410. */
--- a/tests/main/foreignentries_test.cpp
+++ b/tests/main/foreignentries_test.cpp
@@ -276,14 +276,14 @@
     }
     proxy.store.discardHistory();
     proxy.runFor(listTime);
-    for (const std::unique_ptr<FakeEndpoint> &endpoint : proxy.endpoints) {
-        for (const FakeEndpoint::Received &request : endpoint->received) {
-            CHECK(request.head.find("Injected") == nullptr);
-        }
-    }
     // The list is still followed.
     proxy.store.put("servers", "i-" + endpointAddresses[0], std::string(), true);
     CHECK(proxy.eventuallyResponds("/again/x", "good-key", 503));
     proxy.store.put("servers", "i-" + endpointAddresses[0], makeEntry(endpointAddresses[0]));
     CHECK(proxy.eventuallyResponds("/again/x", "good-key", 200));
+    for (const std::unique_ptr<FakeEndpoint> &endpoint : proxy.endpoints) {
+        for (const FakeEndpoint::Received &request : endpoint->received) {
+            CHECK(request.head.find("Injected") == nullptr);
+        }
+    }
 }
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -469,3 +469,21 @@
     }));
     CHECK(proxy.sendRequest("/once/x").head.status == 503);
 }
+
+TEST_CASE("[ProxyRole] A list of several pages is read whole from a store that refuses targets with bytes that a URI can't hold")
+{
+    DaemonCore core(entryDaemonSettings());
+    FakeStore store(core.loop(), parseSocketAddress(storeAddress));
+    store.maxRowsPerPage = 2;
+    store.put("op", "config", makeConfig(7, {"good-key"}));
+    for (const char *key : {"a", "a b", "a?b&c=d", "a%41", "\x01", "\xc3\xbc", "x"}) {
+        store.put("servers", key, "of another writer");
+    }
+    store.put("servers", "z-last", makeEntry(endpointAddresses[0]));
+    PeerLinks links(core);
+    ProxyRole role(core, links, *core.settings().platform);
+    REQUIRE(role.open());
+    CHECK(fakes::runUntil(core.loop(), [&]() {
+        return role.hasInitialState() && !store.keys("versions").empty();
+    }));
+}
