--- a/tests/fakes/versionsimulation.h
+++ b/tests/fakes/versionsimulation.h
@@ -54,7 +54,7 @@
         Duration lag{};
         /** Until then the daemon has no connection to the table. */
         TimePoint cutUntil{};
-        /** Until then the daemon stands still. */
+        /** Until then the daemon is paused. */
         TimePoint pausedUntil{};
     };
 
--- a/tests/main/joinedversions_test.cpp
+++ b/tests/main/joinedversions_test.cpp
@@ -52,7 +52,7 @@
     std::vector<std::string> versions;
     std::vector<std::unique_ptr<crashfleet::Daemon>> daemons;
     int requestCount = 0;
-    /** Whether the first daemon stands still. */
+    /** Whether the first daemon is paused. */
     bool isPaused = false;
 
     /** @param listedCount how many of the endpoints are listed at first */
--- a/tests/servers/softwareversions_test.cpp
+++ b/tests/servers/softwareversions_test.cpp
@@ -127,7 +127,7 @@
 namespace
 {
 
-/** A new version joins while daemons are cut from the table, stand still or start, for 0.5 to 6 s before, while and after it comes. */
+/** A new version joins while daemons are cut from the table, paused or restarted, for 0.5 to 6 s before, while and after it comes. */
 Outcome playOutOfStep(std::uint64_t seed, int daemonCount, VersionSimulation::Faults faults)
 {
     VersionSimulation fleet(seed, daemonCount);
