--- a/tests/main/foreignentries_test.cpp
+++ b/tests/main/foreignentries_test.cpp
@@ -170,7 +170,7 @@
         proxy.store.put("servers", "another-7", entry.value);
         proxy.store.discardHistory();
         proxy.runFor(listTime);
-        // An entry that can't be told from that of an endpoint is followed until the address has answered once.
+        // The first answer of the address shows which of the entries is the endpoint's.
         proxy.sendRequest("/again/x");
         proxy.runFor(std::chrono::milliseconds(200));
         CHECK(proxy.sendRequest("/again/x").head.status == 200);
--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -197,7 +197,7 @@
     CHECK_FALSE(directory.recordOccupant("10.0.0.1:80", "unlisted"));
     CHECK(directory.recordOccupant("10.0.0.1:80", "own"));
     CHECK(directory.available("pool").front()->id == "own");
-    // Heartbeats change nothing.
+    // Entries of known starts that are written again have no effect.
     directory.put(endpointAt("foreign", "pool", 2000));
     directory.put(endpointAt("own", "pool", 1000));
     CHECK(directory.available("pool").front()->id == "own");
