Log which weights version and deadline let a request be sent; weights versions in a class of their own

Change: WeightsHistory holds what the feed knows of the versions of a model, still the newest only, and WeightsCutoff states its version and deadline. `request sent` has `wanted`, `outdatedBy` and `cutoffInMs`, the outcome the weights that the response states, `wanted version changed` the row and `setAgeMs`; a counter of requests sent to older weights. The classes move to servers/weights.

--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -110,15 +110,19 @@
         m_log.write("weights", "ignored malformed entry", {{"row", std::to_string(row.version)}, {"key", row.key}});
         return;
     }
-    WantedWeightsState &state = m_weights[wanted->model];
-    if (wanted->version <= state.version) {
+    SetWeights weights;
+    weights.version = wanted->version;
+    weights.receivedAt = Loop::now();
+    const bool isInterrupted = m_confirmedAt == timeNever || weights.receivedAt - m_confirmedAt > maxUninterruptedGap;
+    weights.setAt = isInterrupted ? m_confirmedAt : weights.receivedAt;
+    if (!m_weights[wanted->model].record(weights)) {
         return;
     }
-    state.version = wanted->version;
-    state.receivedAt = Loop::now();
-    const bool isInterrupted = m_confirmedAt == timeNever || state.receivedAt - m_confirmedAt > maxUninterruptedGap;
-    state.setAt = isInterrupted ? m_confirmedAt : state.receivedAt;
-    m_log.write("weights", "wanted version changed", {{"model", wanted->model}, {"version", std::to_string(wanted->version)}});
+    m_log.write("weights", "wanted version changed",
+                {{"model", wanted->model},
+                 {"version", std::to_string(wanted->version)},
+                 {"row", std::to_string(row.version)},
+                 {"setAgeMs", weights.setAt == timeNever ? "unknown" : millisecondsText(weights.receivedAt - weights.setAt)}});
     if (m_weightsHandler) {
         m_weightsHandler(wanted->model, wanted->version);
     }
@@ -175,10 +179,11 @@
     return m_config;
 }
 
-OperatorFeed::WantedWeightsState OperatorFeed::wantedWeights(const std::string &model) const
+const WeightsHistory &OperatorFeed::weights(const std::string &model) const
 {
+    static const WeightsHistory none;
     const auto found = m_weights.find(model);
-    return found == m_weights.end() ? WantedWeightsState() : found->second;
+    return found == m_weights.end() ? none : found->second;
 }
 
 TimePoint OperatorFeed::confirmedAt() const
--- a/main/feeds/operatorfeed.h
+++ b/main/feeds/operatorfeed.h
@@ -3,6 +3,7 @@
 #include "main/feeds/storefeed.h"
 #include "servers/rollouts/rollout.h"
 #include "servers/trafficconfig.h"
+#include "servers/weights/weightshistory.h"
 
 #include <functional>
 #include <map>
@@ -16,15 +17,6 @@
 class OperatorFeed
 {
 public:
-    struct WantedWeightsState
-    {
-        std::int64_t version = 0;
-        /** When this daemon received the version. */
-        TimePoint receivedAt{};
-        /** The earliest time at which the version can have been set; timeNever if the daemon has started since. */
-        TimePoint setAt = timeNever;
-    };
-
     using ConfigHandler = std::function<void(const TrafficConfig &config)>;
     using WeightsHandler = std::function<void(const std::string &model, std::int64_t version)>;
     using OrderHandler = std::function<void(const RolloutOrder &order)>;
@@ -41,7 +33,7 @@
     DecisionLog &m_log;
     StoreFeed m_feed;
     std::shared_ptr<const TrafficConfig> m_config;
-    std::map<std::string, WantedWeightsState> m_weights;
+    std::map<std::string, WeightsHistory> m_weights;
     TimePoint m_confirmedAt = timeNever;
     /** Responses that the store has produced before do not confirm the configuration. */
     TimePoint m_settledAt = timeNever;
@@ -73,8 +65,8 @@
     /** Returns the newest configuration, or nullptr before the first one. Its version never decreases. */
     const std::shared_ptr<const TrafficConfig> &config() const;
 
-    /** Returns the weights version that the operators set for @p model; version 0 if they set none. */
-    WantedWeightsState wantedWeights(const std::string &model) const;
+    /** Returns the weights versions that the operators have set for @p model. */
+    const WeightsHistory &weights(const std::string &model) const;
 
     /**
      * The earliest time at which the store can have produced the last response that shows the newest configuration; timeNever
--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -124,21 +124,12 @@
 {
     const TimePoint now = Loop::now();
     std::vector<EndpointPlacement::Candidate> candidates;
-    std::string listedModel;
     for (const ListedEndpoint *endpoint : m_services.endpointFeed.directory().available(m_criteria.service)) {
-        listedModel = endpoint->model;
         if (isCandidate(*endpoint)) {
             candidates.push_back(EndpointPlacement::Candidate{endpoint->id, endpoint->weightsVersion});
         }
     }
-    const OperatorFeed::WantedWeightsState wantedWeights
-        = m_services.operatorFeed.wantedWeights(m_criteria.model.empty() ? listedModel : m_criteria.model);
-    const std::int64_t wantedVersion = m_criteria.isEngineService ? wantedWeights.version : 0;
-    std::optional<WeightsCutoff> cutoff;
-    if (wantedVersion > 0) {
-        cutoff.emplace(wantedWeights.setAt, wantedWeights.receivedAt, m_services.weightsDeadline);
-    }
-    EndpointPlacement::Query query{m_criteria.prompt, candidates, wantedVersion, cutoff, m_excluded, m_loads};
+    EndpointPlacement::Query query{m_criteria.prompt, candidates, wantedWeights(), m_services.weightsDeadline, m_excluded, m_loads};
     query.gapTarget = m_criteria.gapTarget;
     query.tokensPerEvent = m_criteria.tokensPerEvent;
     query.targetLatency = m_criteria.targetLatency;
@@ -146,6 +137,27 @@
     return placement().rank(query, probedEngines, now);
 }
 
+const WeightsHistory &EndpointSearch::wantedWeights() const
+{
+    static const WeightsHistory none;
+    if (!m_criteria.isEngineService) {
+        return none;
+    }
+    std::string model = m_criteria.model;
+    if (model.empty()) {
+        for (const ListedEndpoint *endpoint : m_services.endpointFeed.directory().available(m_criteria.service)) {
+            model = endpoint->model;
+        }
+    }
+    return m_services.operatorFeed.weights(model);
+}
+
+std::optional<WeightsCutoff> EndpointSearch::weightsCutoff(const EndpointPlacement::Choice &choice) const
+{
+    const SetWeights *successor = wantedWeights().successorOf(choice.weightsVersion);
+    return successor == nullptr ? std::nullopt : std::optional<WeightsCutoff>(WeightsCutoff(*successor, m_services.weightsDeadline));
+}
+
 void EndpointSearch::search()
 {
     const std::vector<EndpointPlacement::Choice> ranked = rank();
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -491,12 +491,19 @@
         handleEnd(result, cause);
     };
     m_endpointCall = m_services.pool.send(std::move(call), std::move(handlers));
+    const std::optional<WeightsCutoff> cutoff = m_endpointSearch->weightsCutoff(choice);
+    if (cutoff.has_value()) {
+        m_services.metrics.increment("requests sent to older weights");
+    }
     m_services.log.write("request", "sent",
                          {{"request", m_request.id},
                           {"route", m_route->name},
                           {"config", std::to_string(m_config->version)},
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(choice.weightsVersion)},
+                          {"wanted", std::to_string(m_endpointSearch->wantedWeights().wantedVersion())},
+                          {"outdatedBy", cutoff.has_value() ? std::to_string(cutoff->version()) : ""},
+                          {"cutoffInMs", cutoff.has_value() ? millisecondsText(cutoff->deadline() - m_sentAt) : ""},
                           {"software", endpoint->softwareVersion},
                           {"resumes", m_request.resumes},
                           {"afterEvent", m_relay.lastEventId().value_or(m_request.lastEventId)},
@@ -931,7 +938,8 @@
                          {{"request", m_request.id},
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(m_sentWeights)},
-                          {"wanted", std::to_string(version)}});
+                          {"outdatedBy", std::to_string(version)},
+                          {"sinceSentMs", millisecondsText(Loop::now() - m_sentAt)}});
     m_services.pool.cancel(m_endpointCall);
     releaseEndpoint();
     handleBroken();
@@ -1016,6 +1024,7 @@
                           {"account", m_account == nullptr ? "" : m_account->name},
                           {"endpoint", m_triedEndpoints.empty() ? "" : m_triedEndpoints.back()},
                           {"status", std::to_string(m_relay.response().status)},
+                          {"weights", std::to_string(m_relay.response().weightsVersion)},
                           {"framing", framingName(m_relay.framing())},
                           {"lastEvent", m_relay.lastEventId().value_or("")},
                           {"tries", std::to_string(m_triedEndpoints.size())},
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -200,8 +200,8 @@
 
 void ProxyRole::scheduleWeightsCutoff(const std::string &model, std::int64_t version)
 {
-    const OperatorFeed::WantedWeightsState wanted = m_operatorFeed.wantedWeights(model);
-    const WeightsCutoff cutoff(wanted.setAt, wanted.receivedAt, m_services.weightsDeadline);
+    const SetWeights *weights = m_operatorFeed.weights(model).successorOf(version - 1);
+    const WeightsCutoff cutoff(*weights, m_services.weightsDeadline);
     const Duration delay = std::max(cutoff.abandonAt() - Loop::now(), Duration::zero());
     m_core.timers().subscribeOnce(delay, [this, model, version](TimePoint) {
         abandonOldWeights(model, version);
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -273,20 +273,19 @@
     if (!m_report.has_value() || !m_isListCurrent) {
         return;
     }
-    const OperatorFeed::WantedWeightsState wantedWeights = m_operatorFeed.wantedWeights(m_report->model);
+    const std::int64_t wantedVersion = m_operatorFeed.weights(m_report->model).wantedVersion();
     std::vector<std::string> outdated;
     std::size_t poolSize = 0;
     if (ownEntry != nullptr) {
         for (const ListedEndpoint *endpoint : m_endpointFeed.directory().available(ownEntry->service)) {
             ++poolSize;
-            if (endpoint->weightsVersion < wantedWeights.version) {
+            if (endpoint->weightsVersion < wantedVersion) {
                 outdated.push_back(endpoint->id);
             }
         }
     }
-    if (wantedWeights.version > m_rollout.wantedVersion()) {
-        m_rollout.setWantedVersion(wantedWeights.version, poolSize, outdated, ownEntry == nullptr ? std::string() : ownEntry->id,
-                                   Loop::now());
+    if (wantedVersion > m_rollout.wantedVersion()) {
+        m_rollout.setWantedVersion(wantedVersion, poolSize, outdated, ownEntry == nullptr ? std::string() : ownEntry->id, Loop::now());
     }
 }
 
--- a/main/sidecar/sidecarrole.h
+++ b/main/sidecar/sidecarrole.h
@@ -13,7 +13,7 @@
 #include "servers/prefixdirectory.h"
 #include "servers/prompttracker.h"
 #include "servers/quotaholder.h"
-#include "servers/weightsrollout.h"
+#include "servers/weights/weightsrollout.h"
 
 #include <map>
 #include <memory>
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -206,7 +206,7 @@
         const auto found = m_engines.find(candidate.id);
         const Engine &engine = found == m_engines.end() ? unknown : found->second;
         const std::int64_t version = versionOf(candidate, now);
-        const bool isOld = version < query.wantedVersion;
+        const SetWeights *successor = query.weights.successorOf(version);
         if (isUnavailable(engine, now) || now < engine.avoidUntil
             || std::find(query.excluded.begin(), query.excluded.end(), candidate.id) != query.excluded.end()) {
             continue;
@@ -222,12 +222,13 @@
         // Later requests will look for the prefix at its home engine.
         const double preference = choice.isHome ? m_settings.homePreference : 0;
         const double rate = prefillRate(engine, query, now);
-        choice.costMs = cost(engine, rate, missing, isOld, query.priority, now);
+        choice.costMs = cost(engine, rate, missing, successor != nullptr, query.priority, now);
         if (query.gapTarget > Duration::zero()) {
             // At engines of one speed the own tokens do not matter to the ranking.
             choice.costMs += static_cast<double>(prompt.ownTokens) / rate;
         }
-        if (isOld && query.cutoff.has_value() && !query.cutoff->admits(fromSeconds(choice.costMs / millisecondsPerSecond), now)) {
+        const Duration predicted = fromSeconds(choice.costMs / millisecondsPerSecond);
+        if (successor != nullptr && !WeightsCutoff(*successor, query.weightsLimit).admits(predicted, now)) {
             continue;
         }
         choice.rankCostMs = choice.costMs - preference * static_cast<double>(missing) / rate;
--- a/servers/endpointplacement.h
+++ b/servers/endpointplacement.h
@@ -3,7 +3,7 @@
 #include "core/time.h"
 #include "servers/load/pauseprediction.h"
 #include "servers/prefixdirectory.h"
-#include "servers/weightscutoff.h"
+#include "servers/weights/weightscutoff.h"
 
 #include <cstdint>
 #include <map>
@@ -107,10 +107,10 @@
     {
         const PlacedPrompt &prompt;
         const std::vector<Candidate> &candidates;
-        /** The weights version set by the operators; 0 if none is set. */
-        std::int64_t wantedVersion = 0;
-        /** Limits requests to engines with older weights; nullopt if no version is set. */
-        std::optional<WeightsCutoff> cutoff;
+        /** The weights versions set by the operators. */
+        const WeightsHistory &weights;
+        /** The time from the setting of a version to the deadline for older ones. */
+        Duration weightsLimit{};
         /** Ids of engines that this request was already sent to. */
         const std::vector<std::string> &excluded;
         /** Probe answers received for this request. */
--- a/servers/weightscutoff.cpp
+++ b/servers/weights/weightscutoff.cpp
@@ -1,4 +1,4 @@
-#include "servers/weightscutoff.h"
+#include "servers/weights/weightscutoff.h"
 
 #include <algorithm>
 
@@ -22,11 +22,22 @@
 
 }
 
-WeightsCutoff::WeightsCutoff(TimePoint setAt, TimePoint receivedAt, Duration limit)
-    : m_deadline(setAt == timeNever ? receivedAt + std::min(limit, limitWithoutSetTime) : setAt + limit)
+WeightsCutoff::WeightsCutoff(const SetWeights &successor, Duration limit)
+    : m_version(successor.version)
+    , m_deadline(successor.setAt == timeNever ? successor.receivedAt + std::min(limit, limitWithoutSetTime) : successor.setAt + limit)
 {
 }
 
+std::int64_t WeightsCutoff::version() const
+{
+    return m_version;
+}
+
+TimePoint WeightsCutoff::deadline() const
+{
+    return m_deadline;
+}
+
 bool WeightsCutoff::admits(Duration predicted, TimePoint now) const
 {
     return now + startMargin + predicted * predictionFactor < m_deadline;
--- a/servers/weightscutoff.h
+++ b/servers/weights/weightscutoff.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/time.h"
+#include "servers/weights/weightshistory.h"
 
 namespace citronspar
 {
@@ -15,15 +15,21 @@
 class WeightsCutoff
 {
 private:
+    std::int64_t m_version = 0;
     TimePoint m_deadline{};
 
 public:
     /**
-     * @param setAt the earliest time at which the version can have been set; timeNever if unknown
-     * @param receivedAt when this daemon received the version
+     * @param successor the version that outdates the older weights
      * @param limit the time from the setting of a version to its deadline
      */
-    WeightsCutoff(TimePoint setAt, TimePoint receivedAt, Duration limit);
+    WeightsCutoff(const SetWeights &successor, Duration limit);
+
+    /** The version that outdates the older weights. */
+    std::int64_t version() const;
+
+    /** When the last request may begin on older weights. */
+    TimePoint deadline() const;
 
     /** Whether a request may be sent to older weights at @p now if its first token is predicted after @p predicted. */
     bool admits(Duration predicted, TimePoint now) const;
--- /dev/null
+++ b/servers/weights/weightshistory.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace citronspar
+{
+
+/** A weights version that the operators have set. */
+struct SetWeights
+{
+    std::int64_t version = 0;
+    /** When this daemon received the version. */
+    TimePoint receivedAt{};
+    /** The earliest time at which the version can have been set; timeNever if the daemon has started since. */
+    TimePoint setAt = timeNever;
+};
+
+/** The weights versions that the operators have set for one model, as far as this daemon knows. */
+class WeightsHistory
+{
+private:
+    /** In ascending order of their versions. */
+    std::vector<SetWeights> m_versions;
+
+public:
+    /** Records a version; ignored if it is not newer than the wanted one. Returns whether it was recorded. */
+    bool record(const SetWeights &weights);
+
+    /** The newest version; 0 if none is set. */
+    std::int64_t wantedVersion() const;
+
+    /** The version from which on @p version is outdated; nullptr if it is not. */
+    const SetWeights *successorOf(std::int64_t version) const;
+};
+
+}
--- a/servers/weightsrollout.cpp
+++ b/servers/weights/weightsrollout.cpp
@@ -1,4 +1,4 @@
-#include "servers/weightsrollout.h"
+#include "servers/weights/weightsrollout.h"
 
 #include <algorithm>
 
--- a/tests/servers/endpointplacement_test.cpp
+++ b/tests/servers/endpointplacement_test.cpp
@@ -40,8 +40,9 @@
                                                 bool rejectsOldWeights, const std::vector<std::string> &excluded, TimePoint at)
 {
     const Duration age = rejectsOldWeights ? weightsLimit : Duration::zero();
-    const WeightsCutoff cutoff(at - age, at - age, weightsLimit);
-    return placement.choose({prompt, candidates, wantedVersion, cutoff, excluded, {}}, at);
+    WeightsHistory weights;
+    weights.record(SetWeights{wantedVersion, at - age, at - age});
+    return placement.choose({prompt, candidates, weights, weightsLimit, excluded, {}}, at);
 }
 
 }
@@ -115,11 +116,13 @@
     }
     std::map<std::string, std::int64_t> pending;
     const std::vector<std::string> none;
+    WeightsHistory weights;
+    weights.record(SetWeights{2, now, now});
     for (std::uint64_t i = 0; i < daemons * 4; ++i) {
         EndpointPlacement placement{EndpointPlacement::Settings()};
         const PlacedPrompt prompt{i + 1, 0, promptTokens};
         EndpointPlacement::LoadById loads;
-        const EndpointPlacement::Query query{prompt, candidates, 2, std::nullopt, none, loads};
+        const EndpointPlacement::Query query{prompt, candidates, weights, std::chrono::hours(1), none, loads};
         // At most three rounds of four probes, until the best engine has been probed.
         for (int round = 0; round < 3 && loads.count(placement.choose(query, now)->id) == 0; ++round) {
             for (const EndpointPlacement::Choice &choice : placement.rank(query, 4, now)) {
@@ -143,7 +146,8 @@
     const std::vector<EndpointPlacement::Candidate> candidates = engines(12);
     const std::vector<std::string> none;
     EndpointPlacement::LoadById loads;
-    const EndpointPlacement::Query query{longPrompt, candidates, 0, std::nullopt, none, loads};
+    const WeightsHistory weights;
+    const EndpointPlacement::Query query{longPrompt, candidates, weights, Duration::zero(), none, loads};
     const std::vector<EndpointPlacement::Choice> ranked = placement.rank(query, 3, now);
     REQUIRE(ranked.size() == 3);
     CHECK(ranked.front().isHome);
--- a/tests/servers/load/fleetmodel.h
+++ b/tests/servers/load/fleetmodel.h
@@ -113,6 +113,7 @@
     std::vector<Engine> m_engines;
     std::vector<EndpointPlacement> m_placements;
     std::vector<EndpointPlacement::Candidate> m_candidates;
+    WeightsHistory m_weights;
     std::map<std::int64_t, Sent> m_sent;
     std::int64_t m_lastId = 0;
     std::size_t m_lastEngine = 0;
@@ -234,7 +235,7 @@
         EndpointPlacement &placement = m_placements[daemon];
         EndpointPlacement::LoadById loads;
         const std::vector<std::string> excluded;
-        EndpointPlacement::Query query{prompt, m_candidates, 1, std::nullopt, excluded, loads};
+        EndpointPlacement::Query query{prompt, m_candidates, m_weights, std::chrono::hours(1), excluded, loads};
         query.gapTarget = m_settings.usesGapTarget ? kind.gapTarget : Duration::zero();
         query.tokensPerEvent = m_settings.predictsPauses ? m_settings.engine.tokensPerEvent : 0;
         query.priority = priorityOf(kind);
--- a/tests/servers/load/placementbyrate_test.cpp
+++ b/tests/servers/load/placementbyrate_test.cpp
@@ -59,7 +59,8 @@
     const PlacedPrompt prompt{0, 0, 4000};
     const std::vector<std::string> none;
     const EndpointPlacement::LoadById loads;
-    EndpointPlacement::Query query{prompt, candidates, 1, std::nullopt, none, loads};
+    const WeightsHistory weights;
+    EndpointPlacement::Query query{prompt, candidates, weights, Duration::zero(), none, loads};
     query.gapTarget = std::chrono::milliseconds(300);
     EndpointPlacement placement{EndpointPlacement::Settings()};
     CHECK(placement.choose(query, now)->costMs == Approx(100));
--- a/tests/servers/load/promptpriority_test.cpp
+++ b/tests/servers/load/promptpriority_test.cpp
@@ -82,7 +82,8 @@
     const PlacedPrompt prompt{0, 0, 400};
     const std::vector<std::string> none;
     const EndpointPlacement::LoadById loads;
-    EndpointPlacement::Query urgent{prompt, candidates, 1, std::nullopt, none, loads};
+    const WeightsHistory weights;
+    EndpointPlacement::Query urgent{prompt, candidates, weights, Duration::zero(), none, loads};
     EndpointPlacement::Query patient = urgent;
     urgent.priority = 0;
     patient.priority = 5;
--- a/tests/servers/weightscutoff_test.cpp
+++ b/tests/servers/weights/weightscutoff_test.cpp
@@ -1,4 +1,4 @@
-#include "servers/weightscutoff.h"
+#include "servers/weights/weightscutoff.h"
 
 #include <catch2/catch.hpp>
 
@@ -39,7 +39,7 @@
 
 TEST_CASE("[WeightsCutoff] No request begins on old weights after the deadline, however long it waits in the engine's queue")
 {
-    const WeightsCutoff cutoff(setAt, setAt, limit);
+    const WeightsCutoff cutoff(SetWeights{2, setAt, setAt}, limit);
     const Rule admits = [&](Duration predicted, TimePoint now) {
         return cutoff.admits(predicted, now);
     };
@@ -55,7 +55,7 @@
 
 TEST_CASE("[WeightsCutoff] Old weights are used while new ones load")
 {
-    const WeightsCutoff cutoff(setAt, setAt, limit);
+    const WeightsCutoff cutoff(SetWeights{2, setAt, setAt}, limit);
     CHECK(cutoff.admits(std::chrono::milliseconds(300), setAt + std::chrono::seconds(4)));
     CHECK_FALSE(cutoff.admits(std::chrono::milliseconds(300), setAt + std::chrono::seconds(7)));
     CHECK(cutoff.abandonAt() < setAt + limit);
@@ -65,9 +65,9 @@
 {
     // The daemon was cut from the store for 6 s.
     const TimePoint receivedAt = setAt + std::chrono::seconds(6);
-    CHECK_FALSE(WeightsCutoff(setAt, receivedAt, limit).admits(std::chrono::milliseconds(300), receivedAt));
+    CHECK_FALSE(WeightsCutoff(SetWeights{2, receivedAt, setAt}, limit).admits(std::chrono::milliseconds(300), receivedAt));
     // A daemon that has just started can't know the age of the version, and must not count a whole rollout from its start.
-    const WeightsCutoff afterStart(timeNever, receivedAt, limit);
+    const WeightsCutoff afterStart(SetWeights{2, receivedAt, timeNever}, limit);
     CHECK(afterStart.admits(std::chrono::milliseconds(300), receivedAt + std::chrono::milliseconds(1500)));
     CHECK_FALSE(afterStart.admits(std::chrono::milliseconds(300), receivedAt + std::chrono::seconds(4)));
 }
