Keep the deadline of each weights version, not of the newest one only

Cause: the entry daemon kept one version and one time for each model. Each further version moved the deadline of all older weights, so an engine that stayed behind while versions followed each other was used without end. Change: WeightsHistory keeps the versions with their times; weights are judged by the first version after them.

--- a/servers/weights/weightshistory.h
+++ b/servers/weights/weightshistory.h
@@ -18,7 +18,11 @@
     TimePoint setAt = timeNever;
 };
 
-/** The weights versions that the operators have set for one model, as far as this daemon knows. */
+/**
+ * The weights versions that the operators have set for one model, as far as this
+ * daemon knows. Each version has a deadline of its own, from which on no request
+ * may begin on older ones, so a version does not replace those before it.
+ */
 class WeightsHistory
 {
 private:
@@ -32,7 +36,7 @@
     /** The newest version; 0 if none is set. */
     std::int64_t wantedVersion() const;
 
-    /** The version from which on @p version is outdated; nullptr if it is not. */
+    /** The first version after @p version, which outdates it; nullptr if there is none. */
     const SetWeights *successorOf(std::int64_t version) const;
 };
 
