Count a weights version from the last response of the store without it

Callers could get responses of outdated weights from daemons whose polls are refused or late: the version counted from its receipt if the feed had a response in the last 2.5 s, though it may have been set right after that response. Cause: a fixed gap stood for 'not interrupted'. Class: the receipt is taken for the event. Change: TableFollower states the earliest time of the changes in a response: the time of the response if the poll has waited for it, else that of the response before. OperatorFeed dates versions by it.

--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -15,9 +15,6 @@
 // In this time after a restore the operators have written again what the copy lacks.
 constexpr Duration rewriteTime = std::chrono::milliseconds(1000);
 
-// The store answers a waiting feed request at once, so a change was made just now unless the feed was interrupted.
-constexpr Duration maxUninterruptedGap = std::chrono::milliseconds(2500);
-
 }
 
 OperatorFeed::OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::PollSettings pollSettings)
@@ -114,9 +111,7 @@
     SetWeights weights;
     weights.version = wanted->version;
     weights.followedSince = m_startedAt;
-    const TimePoint now = Loop::now();
-    const bool isInterrupted = m_confirmedAt == timeNever || now - m_confirmedAt > maxUninterruptedGap;
-    weights.setAt = isInterrupted ? m_confirmedAt : now;
+    weights.setAt = m_feed.changedAfter();
     if (!m_weights[wanted->model].record(weights)) {
         return;
     }
@@ -124,7 +119,7 @@
                 {{"model", wanted->model},
                  {"version", std::to_string(wanted->version)},
                  {"row", std::to_string(row.version)},
-                 {"setAgeMs", weights.setAt == timeNever ? "unknown" : millisecondsText(now - weights.setAt)}});
+                 {"setAgeMs", weights.setAt == timeNever ? "unknown" : millisecondsText(Loop::now() - weights.setAt)}});
     if (m_weightsHandler) {
         m_weightsHandler(wanted->model, wanted->version);
     }
--- a/main/feeds/storefeed.cpp
+++ b/main/feeds/storefeed.cpp
@@ -72,6 +72,11 @@
     return m_follower.era();
 }
 
+TimePoint StoreFeed::changedAfter() const
+{
+    return m_follower.changedAfter();
+}
+
 std::int64_t StoreFeed::version() const
 {
     return m_follower.version();
--- a/main/feeds/storefeed.h
+++ b/main/feeds/storefeed.h
@@ -90,6 +90,9 @@
     /** The era of the store; nullopt before the first response that states it. */
     std::optional<std::int64_t> era() const;
 
+    /** The earliest time at which changes in the last response can have been made; timeNever if that is not known. */
+    TimePoint changedAfter() const;
+
     /** The version of the store up to which the changes of the table are known. */
     std::int64_t version() const;
 
--- a/servers/tablefollower.cpp
+++ b/servers/tablefollower.cpp
@@ -5,6 +5,14 @@
 namespace citronspar
 {
 
+namespace
+{
+
+// A poll that the store answers this long after it was sent has waited there for a change. Covers the way to the store.
+constexpr Duration minPollWait = std::chrono::milliseconds(100);
+
+}
+
 TableFollower::Request TableFollower::nextRequest(TimePoint now)
 {
     Request request;
@@ -50,6 +58,17 @@
 }
 
 TableFollower::Step TableFollower::handleResponse(const Request &request, const Response &response, TimePoint now)
+{
+    const Step step = interpretResponse(request, response, now);
+    if (step == Step::Snapshot || step == Step::Changes) {
+        const bool hasWaited = step == Step::Changes && !request.isShort && m_producedAt - request.sentAt >= minPollWait;
+        m_changedAfter = hasWaited ? m_producedAt : m_knownAt;
+        m_knownAt = m_producedAt;
+    }
+    return step;
+}
+
+TableFollower::Step TableFollower::interpretResponse(const Request &request, const Response &response, TimePoint now)
 {
     if (request.number != m_lastRequest) {
         return Step::Ignore;
@@ -104,6 +123,11 @@
     return m_producedAt;
 }
 
+TimePoint TableFollower::changedAfter() const
+{
+    return m_changedAfter;
+}
+
 bool TableFollower::hasSnapshot() const
 {
     return m_hasSnapshot;
--- a/servers/tablefollower.h
+++ b/servers/tablefollower.h
@@ -81,7 +81,11 @@
     bool m_isFailing = false;
     StoreClock m_clock;
     TimePoint m_producedAt = timeNever;
+    /** producedAt() of the last response that completed a snapshot or was one to a poll. */
+    TimePoint m_knownAt = timeNever;
+    TimePoint m_changedAfter = timeNever;
 
+    Step interpretResponse(const Request &request, const Response &response, TimePoint now);
     Step handlePage(const Response &response);
 
 public:
@@ -103,6 +107,9 @@
     /** The earliest time at which the store can have produced the last response with rows. */
     TimePoint producedAt() const;
 
+    /** The earliest time at which changes in the last response can have been made; timeNever if that is not known. */
+    TimePoint changedAfter() const;
+
     bool hasSnapshot() const;
     bool isFailing() const;
     std::int64_t version() const;
--- a/tests/servers/tablefollower_test.cpp
+++ b/tests/servers/tablefollower_test.cpp
@@ -379,6 +379,49 @@
     CHECK(follower.producedAt() == start);
 }
 
+// Guards against taking a change for new that failed or refused polls have delayed.
+TEST_CASE("[TableFollower] A change counts from the last response without it, unless the poll has waited for it")
+{
+    const auto at = [](int milliseconds) {
+        return start + std::chrono::milliseconds(milliseconds);
+    };
+    const auto rowsAt = [](std::int64_t version, int milliseconds) {
+        Response response = makeRows(version, 1);
+        response.storeTime = std::chrono::seconds(1000) + std::chrono::milliseconds(milliseconds);
+        return response;
+    };
+    TableFollower follower;
+    CHECK(follower.handleResponse(follower.nextRequest(at(0)), rowsAt(20, 0), at(0)) == Step::Snapshot);
+    CHECK(follower.changedAfter() == timeNever);
+    // The first poll is short, and synchronizes the clock.
+    CHECK(follower.handleResponse(follower.nextRequest(at(0)), rowsAt(20, 0), at(0)) == Step::Changes);
+
+    const Request waiting = follower.nextRequest(at(200));
+    REQUIRE_FALSE(waiting.isShort);
+    CHECK(follower.handleResponse(waiting, rowsAt(21, 900), at(900)) == Step::Changes);
+    CHECK(at(900) - follower.changedAfter() <= std::chrono::milliseconds(2));
+
+    // The change was there when the poll arrived.
+    CHECK(follower.handleResponse(follower.nextRequest(at(1100)), rowsAt(22, 1101), at(1102)) == Step::Changes);
+    CHECK(at(900) - follower.changedAfter() <= std::chrono::milliseconds(2));
+    CHECK(follower.changedAfter() <= at(900));
+
+    for (int failedAt = 1300; failedAt < 2900; failedAt += 400) {
+        CHECK(follower.handleResponse(follower.nextRequest(at(failedAt)), Response(), at(failedAt)) == Step::Failed);
+    }
+    CHECK(follower.handleResponse(follower.nextRequest(at(2900)), rowsAt(23, 2901), at(2902)) == Step::Changes);
+    CHECK(follower.changedAfter() <= at(1101));
+    CHECK(follower.changedAfter() >= at(1000));
+
+    // A snapshot that replaces dropped history holds all changes since.
+    Response gone;
+    gone.outcome = Response::Outcome::HistoryGone;
+    gone.era = 1;
+    CHECK(follower.handleResponse(follower.nextRequest(at(3000)), gone, at(3000)) == Step::HistoryGone);
+    CHECK(follower.handleResponse(follower.nextRequest(at(5000)), rowsAt(30, 5001), at(5002)) == Step::Snapshot);
+    CHECK(follower.changedAfter() <= at(2901));
+}
+
 TEST_CASE("[TableFollower] A store that states no era is followed as before")
 {
     TableFollower follower;
