--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -15,9 +15,6 @@
 // In this time after a restore the operators have written again what the copy lacks.
 constexpr Duration rewriteTime = std::chrono::milliseconds(1000);
 
-// The store answers a waiting feed request at once, so a change was made just now unless the feed was interrupted.
-constexpr Duration maxUninterruptedGap = std::chrono::milliseconds(2500);
-
 }
 
 OperatorFeed::OperatorFeed(Loop &loop, platform::StoreClient &store, DecisionLog &log, StoreFeed::PollSettings pollSettings)
@@ -58,6 +55,7 @@
 
 void OperatorFeed::start()
 {
+    m_startedAt = Loop::now();
     m_feed.start();
 }
 
@@ -110,15 +108,18 @@
         m_log.write("weights", "ignored malformed entry", {{"row", std::to_string(row.version)}, {"key", row.key}});
         return;
     }
-    WantedWeightsState &state = m_weights[wanted->model];
-    if (wanted->version <= state.version) {
+    SetWeights weights;
+    weights.version = wanted->version;
+    weights.followedSince = m_startedAt;
+    weights.setAt = m_feed.changedAfter();
+    if (!m_weights[wanted->model].record(weights)) {
         return;
     }
-    state.version = wanted->version;
-    state.receivedAt = Loop::now();
-    const bool isInterrupted = m_confirmedAt == timeNever || state.receivedAt - m_confirmedAt > maxUninterruptedGap;
-    state.setAt = isInterrupted ? m_confirmedAt : state.receivedAt;
-    m_log.write("weights", "wanted version changed", {{"model", wanted->model}, {"version", std::to_string(wanted->version)}});
+    m_log.write("weights", "wanted version changed",
+                {{"model", wanted->model},
+                 {"version", std::to_string(wanted->version)},
+                 {"row", std::to_string(row.version)},
+                 {"setAgeMs", weights.setAt == timeNever ? "unknown" : millisecondsText(Loop::now() - weights.setAt)}});
     if (m_weightsHandler) {
         m_weightsHandler(wanted->model, wanted->version);
     }
@@ -175,10 +176,11 @@
     return m_config;
 }
 
-OperatorFeed::WantedWeightsState OperatorFeed::wantedWeights(const std::string &model) const
+const WeightsHistory &OperatorFeed::weights(const std::string &model) const
 {
+    static const WeightsHistory none;
     const auto found = m_weights.find(model);
-    return found == m_weights.end() ? WantedWeightsState() : found->second;
+    return found == m_weights.end() ? none : found->second;
 }
 
 TimePoint OperatorFeed::confirmedAt() const
--- a/servers/weightscutoff.cpp
+++ b/servers/weights/weightscutoff.cpp
@@ -1,4 +1,4 @@
-#include "servers/weightscutoff.h"
+#include "servers/weights/weightscutoff.h"
 
 #include <algorithm>
 
@@ -17,16 +17,27 @@
 // Covers the way of a cancellation to the engine.
 constexpr Duration abandonMargin = std::chrono::milliseconds(300);
 
-// A daemon that has just started can't know when the version was set. A rollout is mostly over after this time.
+// A daemon that has started since can't know when the version was set. A rollout is mostly over after this time.
 constexpr Duration limitWithoutSetTime = std::chrono::milliseconds(4000);
 
 }
 
-WeightsCutoff::WeightsCutoff(TimePoint setAt, TimePoint receivedAt, Duration limit)
-    : m_deadline(setAt == timeNever ? receivedAt + std::min(limit, limitWithoutSetTime) : setAt + limit)
+WeightsCutoff::WeightsCutoff(const SetWeights &successor, Duration limit)
+    : m_version(successor.version)
+    , m_deadline(successor.setAt == timeNever ? successor.followedSince + std::min(limit, limitWithoutSetTime) : successor.setAt + limit)
 {
 }
 
+std::int64_t WeightsCutoff::version() const
+{
+    return m_version;
+}
+
+TimePoint WeightsCutoff::deadline() const
+{
+    return m_deadline;
+}
+
 bool WeightsCutoff::admits(Duration predicted, TimePoint now) const
 {
     return now + startMargin + predicted * predictionFactor < m_deadline;
