WeightsRollout: engines that are behind by more versions load first, and no version postpones a scheduled load

With versions in quick succession the last groups of the pool never loaded. Cause: the schedule is derived anew from each version, by ids alone. Class: only the newest of a series counts. Change: engines are sorted by their version first; an earlier time of a scheduled load is kept. Measured: 4 checks of two new tests fail with the schedule before (pools of 3, 12 and 52, version steps of 1 and 2), none now.

--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -274,13 +274,14 @@
         return;
     }
     const std::int64_t wantedVersion = m_operatorFeed.weights(m_report->model).wantedVersion();
-    std::vector<std::string> outdated;
+    std::vector<WeightsRollout::OutdatedEngine> outdated;
     std::size_t poolSize = 0;
     if (ownEntry != nullptr) {
         for (const ListedEndpoint *endpoint : m_endpointFeed.directory().available(ownEntry->service)) {
             ++poolSize;
-            if (endpoint->weightsVersion < wantedVersion) {
-                outdated.push_back(endpoint->id);
+            const std::int64_t version = endpoint == ownEntry ? m_report->weightsVersion : endpoint->weightsVersion;
+            if (version < wantedVersion) {
+                outdated.push_back(WeightsRollout::OutdatedEngine{endpoint->id, version});
             }
         }
     }
--- a/servers/weights/weightsrollout.cpp
+++ b/servers/weights/weightsrollout.cpp
@@ -17,7 +17,7 @@
 {
 }
 
-void WeightsRollout::setWantedVersion(std::int64_t version, std::size_t poolSize, const std::vector<std::string> &ids,
+void WeightsRollout::setWantedVersion(std::int64_t version, std::size_t poolSize, std::vector<OutdatedEngine> outdated,
                                       const std::string &own, TimePoint now)
 {
     if (version <= m_wantedVersion) {
@@ -27,20 +27,25 @@
     if (m_currentVersion >= version) {
         return;
     }
-    std::vector<std::string> order = ids;
-    std::sort(order.begin(), order.end());
-    const std::size_t count = std::max<std::size_t>(order.size(), 1);
-    std::size_t rank = static_cast<std::size_t>(std::lower_bound(order.begin(), order.end(), own) - order.begin());
-    rank = std::min(rank, count - 1);
-    if (version % 2 != 0) {
-        // The order is reversed for every other version, so that engines that have not loaded a version when the next one is
-        // set are first for the next one.
-        rank = count - 1 - rank;
-    }
+    // The order of the ids is reversed for every other version, so that engines that have not loaded a version when the next one
+    // is set are first for the next one, although the list does not show yet which have loaded it.
+    const bool isReversed = version % 2 != 0;
+    std::sort(outdated.begin(), outdated.end(), [isReversed](const OutdatedEngine &first, const OutdatedEngine &second) {
+        if (first.version != second.version) {
+            return first.version < second.version;
+        }
+        return isReversed ? second.id < first.id : first.id < second.id;
+    });
+    const auto position = std::find_if(outdated.begin(), outdated.end(), [&own](const OutdatedEngine &engine) {
+        return engine.id == own;
+    });
+    const std::size_t count = std::max<std::size_t>(outdated.size(), 1);
+    const std::size_t rank = std::min(static_cast<std::size_t>(position - outdated.begin()), count - 1);
     const std::size_t groups = static_cast<std::size_t>(m_settings.groups);
     const std::size_t groupSize = std::max<std::size_t>(1, (std::max(poolSize, count) + groups / 2) / groups);
     const std::int64_t group = static_cast<std::int64_t>(rank / groupSize);
-    m_orderAt = now + m_settings.announceLead + group * m_settings.groupInterval;
+    const TimePoint orderAt = now + m_settings.announceLead + group * m_settings.groupInterval;
+    m_orderAt = std::min(m_orderAt.value_or(orderAt), orderAt);
 }
 
 void WeightsRollout::recordReport(std::int64_t version, bool isBusy, TimePoint now)
--- a/servers/weights/weightsrollout.h
+++ b/servers/weights/weightsrollout.h
@@ -31,6 +31,13 @@
         Duration orderTimeout = std::chrono::milliseconds(1500);
     };
 
+    /** An engine of the pool with older weights. */
+    struct OutdatedEngine
+    {
+        std::string id;
+        std::int64_t version = 0;
+    };
+
     /** The action that the daemon has to take now. */
     enum class Step {
         Nothing,
@@ -53,12 +60,13 @@
     explicit WeightsRollout(Settings settings);
 
     /**
-     * Schedules the load of @p version, set by the operators. Ignored if it is not newer than the wanted version.
+     * Schedules the load of @p version, set by the operators. Ignored if it is not newer than the wanted version. Engines that
+     * are behind by more versions load first, and a load that is scheduled already is not postponed.
      * @param poolSize the number of engines of the pool that are in use
-     * @param ids the ids of the engines in use that have older weights
+     * @param outdated the engines in use that have older weights
      * @param own the id of this daemon's engine
      */
-    void setWantedVersion(std::int64_t version, std::size_t poolSize, const std::vector<std::string> &ids, const std::string &own,
+    void setWantedVersion(std::int64_t version, std::size_t poolSize, std::vector<OutdatedEngine> outdated, const std::string &own,
                           TimePoint now);
 
     /** Processes a report of the engine: its weights version, and whether it is executing an order. */
--- a/tests/servers/weights/weightsrollout_test.cpp
+++ b/tests/servers/weights/weightsrollout_test.cpp
@@ -51,10 +51,10 @@
 
     void setWantedVersion(std::int64_t version, TimePoint now)
     {
-        std::vector<std::string> outdated;
+        std::vector<WeightsRollout::OutdatedEngine> outdated;
         for (const std::pair<const std::string, Engine> &entry : engines) {
             if (entry.second.version < version) {
-                outdated.push_back(entry.first);
+                outdated.push_back(WeightsRollout::OutdatedEngine{entry.first, entry.second.version});
             }
         }
         for (std::pair<const std::string, Engine> &entry : engines) {
@@ -143,7 +143,7 @@
 {
     WeightsRollout rollout{WeightsRollout::Settings()};
     rollout.recordReport(1, false, start);
-    rollout.setWantedVersion(4, 12, {"engine-111"}, "engine-111", start);
+    rollout.setWantedVersion(4, 12, {{"engine-111", 1}}, "engine-111", start);
     CHECK(rollout.nextStep(start + std::chrono::milliseconds(400)) == Step::Order);
 }
 
@@ -151,7 +151,7 @@
 {
     WeightsRollout rollout{WeightsRollout::Settings()};
     rollout.recordReport(1, false, start);
-    rollout.setWantedVersion(2, 1, {"a"}, "a", start);
+    rollout.setWantedVersion(2, 1, {{"a", 1}}, "a", start);
     TimePoint now = start + std::chrono::seconds(1);
     REQUIRE(rollout.nextStep(now) == Step::Order);
     rollout.recordOrdered(now);
@@ -165,3 +165,49 @@
     CHECK_FALSE(rollout.isLoading(now + loadTime));
     CHECK(rollout.nextStep(now + loadTime) == Step::Nothing);
 }
+
+TEST_CASE("[WeightsRollout] An engine that has fallen behind by several versions is the first to load")
+{
+    const std::int64_t version = GENERATE(5, 6);
+    std::vector<WeightsRollout::OutdatedEngine> outdated;
+    for (const std::string &id : pool(12)) {
+        outdated.push_back(WeightsRollout::OutdatedEngine{id, id == "engine-105" ? 1 : version - 1});
+    }
+    WeightsRollout rollout{WeightsRollout::Settings()};
+    rollout.recordReport(1, false, start);
+    rollout.setWantedVersion(version, 12, outdated, "engine-105", start);
+    CHECK(rollout.nextStep(start + std::chrono::milliseconds(400)) == Step::Order);
+}
+
+// Guards against a schedule that starts anew with each version, whose last groups never load.
+TEST_CASE("[WeightsRollout] Versions in quick succession postpone the load of no engine")
+{
+    const int size = GENERATE(3, 12, 52);
+    const std::int64_t versionStep = GENERATE(1, 2);
+    PoolSimulation run(size);
+    std::map<std::string, TimePoint> outdatedSince;
+    Duration longest{};
+    std::int64_t version = 2;
+    TimePoint nextVersionAt = start;
+    for (TimePoint now = start; now < start + std::chrono::seconds(40); now += tick) {
+        if (now >= nextVersionAt && now < start + std::chrono::seconds(24)) {
+            run.setWantedVersion(version, now);
+            version += versionStep;
+            nextVersionAt = now + std::chrono::milliseconds(1600);
+        }
+        std::map<std::string, std::int64_t> before;
+        for (const std::pair<const std::string, PoolSimulation::Engine> &entry : run.engines) {
+            before[entry.first] = entry.second.version;
+        }
+        run.stepAll(now);
+        for (const std::pair<const std::string, PoolSimulation::Engine> &entry : run.engines) {
+            TimePoint &since = outdatedSince.try_emplace(entry.first, now).first->second;
+            since = entry.second.version != before[entry.first] ? now : since;
+            if (entry.second.version < entry.second.rollout.wantedVersion()) {
+                longest = std::max(longest, now - since);
+            }
+        }
+    }
+    // With the first version all engines load within this time.
+    CHECK(longest < std::chrono::milliseconds(6500));
+}
