WeightsRollout: repeat an order without a response soon, and use the engine meanwhile

Callers were refused while orders took effect late: the engine was avoided for 1.5 s after each order, though it served on. Cause: an order counted as running until its time-out, whether the engine had accepted it or not. Change: the call times out after 400 ms; the order is repeated 150 ms later, and the engine gets requests until it reports that it loads.

--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -23,7 +23,8 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
 constexpr Duration reportPeriod = std::chrono::milliseconds(100);
 constexpr Duration reportTimeout = std::chrono::milliseconds(500);
-constexpr Duration orderTimeout = std::chrono::milliseconds(800);
+// Engines accept an order at once, and execute it afterwards.
+constexpr Duration orderTimeout = std::chrono::milliseconds(400);
 constexpr Duration fencingTokenRetryDelay = std::chrono::milliseconds(500);
 // Another holder with a higher token gives no more orders after this time, unless it is the rightful one.
 constexpr Duration fencingTokenRenewalDelay = std::chrono::seconds(4);
@@ -359,6 +360,8 @@
                      {"status", std::to_string(status)}});
         if (outcome == platform::OrderOutcome::Refused || outcome == platform::OrderOutcome::Outdated) {
             m_rollout.recordRefused(Loop::now());
+        } else if (outcome == platform::OrderOutcome::Unknown) {
+            m_rollout.recordUnanswered(Loop::now());
         }
         if (outcome == platform::OrderOutcome::Outdated && m_fencingToken == order.fence) {
             renewFencingToken();
--- a/servers/weights/weightsrollout.cpp
+++ b/servers/weights/weightsrollout.cpp
@@ -41,6 +41,7 @@
     });
     const std::size_t count = std::max<std::size_t>(outdated.size(), 1);
     const std::size_t rank = std::min(static_cast<std::size_t>(position - outdated.begin()), count - 1);
+    m_isUnanswered = false;
     const std::size_t groups = static_cast<std::size_t>(m_settings.groups);
     const std::size_t groupSize = std::max<std::size_t>(1, (std::max(poolSize, count) + groups / 2) / groups);
     const std::int64_t group = static_cast<std::int64_t>(rank / groupSize);
@@ -55,6 +56,7 @@
     if (m_currentVersion >= m_wantedVersion) {
         m_orderAt.reset();
         m_orderedAt = timeNever;
+        m_isUnanswered = false;
         return;
     }
     if (m_orderedAt != timeNever && m_currentVersion >= m_orderedVersion) {
@@ -74,6 +76,7 @@
     m_currentVersion = 0;
     m_isBusy = false;
     m_orderedAt = timeNever;
+    m_isUnanswered = false;
 }
 
 WeightsRollout::Step WeightsRollout::nextStep(TimePoint now) const
@@ -103,9 +106,18 @@
     m_orderAt = now + refusalRetryDelay;
 }
 
+void WeightsRollout::recordUnanswered(TimePoint now)
+{
+    recordRefused(now);
+    m_isUnanswered = true;
+}
+
 bool WeightsRollout::isLoading(TimePoint now) const
 {
-    if (m_isBusy || m_orderedAt != timeNever) {
+    if (m_isBusy || m_isUnanswered) {
+        return m_isBusy;
+    }
+    if (m_orderedAt != timeNever) {
         return true;
     }
     return m_currentVersion < m_wantedVersion && m_orderAt.has_value() && now + m_settings.announceLead >= *m_orderAt;
--- a/servers/weights/weightsrollout.h
+++ b/servers/weights/weightsrollout.h
@@ -55,6 +55,8 @@
     std::optional<TimePoint> m_orderAt;
     TimePoint m_orderedAt = timeNever;
     std::int64_t m_orderedVersion = 0;
+    /** Whether the last order got no response. It is not known then when the load starts, so traffic goes on until it does. */
+    bool m_isUnanswered = false;
 
 public:
     explicit WeightsRollout(Settings settings);
@@ -84,6 +86,9 @@
     /** Records that the order was refused; it is repeated after a short delay. */
     void recordRefused(TimePoint now);
 
+    /** Records that the order got no response: it may be executed at any time, and is repeated after a short delay. */
+    void recordUnanswered(TimePoint now);
+
     /** Whether traffic should be routed to other engines: a load is announced, ordered or running. */
     bool isLoading(TimePoint now) const;
 
--- a/tests/servers/weights/weightsrollout_test.cpp
+++ b/tests/servers/weights/weightsrollout_test.cpp
@@ -211,3 +211,26 @@
     // With the first version all engines load within this time.
     CHECK(longest < std::chrono::milliseconds(6500));
 }
+
+TEST_CASE("[WeightsRollout] An engine whose order got no response is ordered again soon, and gets requests until it loads")
+{
+    WeightsRollout rollout{WeightsRollout::Settings()};
+    rollout.recordReport(1, false, start);
+    rollout.setWantedVersion(2, 1, {{"a", 1}}, "a", start);
+    TimePoint now = start + std::chrono::milliseconds(300);
+    REQUIRE(rollout.nextStep(now) == Step::Order);
+    rollout.recordOrdered(now);
+    now += std::chrono::milliseconds(400);
+    rollout.recordUnanswered(now);
+    CHECK_FALSE(rollout.isLoading(now));
+    now += std::chrono::milliseconds(200);
+    rollout.recordReport(1, false, now);
+    CHECK(rollout.nextStep(now) == Step::Order);
+    CHECK_FALSE(rollout.isLoading(now));
+    // The first order takes effect.
+    rollout.recordReport(1, true, now);
+    CHECK(rollout.isLoading(now));
+    CHECK(rollout.nextStep(now) == Step::Nothing);
+    rollout.recordReport(2, false, now + loadTime);
+    CHECK_FALSE(rollout.isLoading(now + loadTime));
+}
