WeightsRollout: believe a report of older weights

Callers: such an engine got no more requests once the deadline of its weights had passed. Cause: the daemon took the highest version ever reported for the current one. An order of before the engine's restart that is executed late loads an older version again (`expected` starts anew); the engine was then never ordered to load the wanted one. Change: the last report counts. Measured: the new test fails on the code before.

--- a/servers/weights/weightsrollout.cpp
+++ b/servers/weights/weightsrollout.cpp
@@ -51,7 +51,8 @@
 
 void WeightsRollout::recordReport(std::int64_t version, bool isBusy, TimePoint now)
 {
-    m_currentVersion = std::max(m_currentVersion, version);
+    // A late order may have loaded an older version again.
+    m_currentVersion = version;
     m_isBusy = isBusy;
     if (m_currentVersion >= m_wantedVersion) {
         m_orderAt.reset();
--- a/tests/servers/weights/weightsrollout_test.cpp
+++ b/tests/servers/weights/weightsrollout_test.cpp
@@ -234,3 +234,14 @@
     rollout.recordReport(2, false, now + loadTime);
     CHECK_FALSE(rollout.isLoading(now + loadTime));
 }
+
+TEST_CASE("[WeightsRollout] An engine that has loaded an older version again is ordered to load the wanted one")
+{
+    WeightsRollout rollout{WeightsRollout::Settings()};
+    rollout.recordReport(3, false, start);
+    rollout.setWantedVersion(3, 1, {}, "a", start);
+    CHECK(rollout.nextStep(start) == Step::Nothing);
+    // An order of before the engine's restart takes effect.
+    rollout.recordReport(2, false, start + std::chrono::seconds(5));
+    CHECK(rollout.nextStep(start + std::chrono::seconds(6)) == Step::Order);
+}
