Weights: names for newcomers, a model for requests that name none, a test of two versions through ProxyRole

WeightsVersion is one version, WeightsHistory holds them. A listed endpoint without models no longer hides the model of the others from a request that names none. Tests: the bound on the history makes no deadline later; a request to weights that the first of two versions has outdated is refused.

--- a/main/feeds/operatorfeed.cpp
+++ b/main/feeds/operatorfeed.cpp
@@ -108,8 +108,8 @@
         m_log.write("weights", "ignored malformed entry", {{"row", std::to_string(row.version)}, {"key", row.key}});
         return;
     }
-    SetWeights weights;
-    weights.version = wanted->version;
+    WeightsVersion weights;
+    weights.number = wanted->version;
     weights.followedSince = m_startedAt;
     weights.setAt = m_feed.changedAfter();
     if (!m_weights[wanted->model].record(weights)) {
@@ -121,7 +121,7 @@
                  {"row", std::to_string(row.version)},
                  {"setAgeMs", weights.setAt == timeNever ? "unknown" : millisecondsText(Loop::now() - weights.setAt)}});
     if (m_weightsHandler) {
-        m_weightsHandler(wanted->model, wanted->version);
+        m_weightsHandler(wanted->model, weights);
     }
 }
 
--- a/main/feeds/operatorfeed.h
+++ b/main/feeds/operatorfeed.h
@@ -18,7 +18,7 @@
 {
 public:
     using ConfigHandler = std::function<void(const TrafficConfig &config)>;
-    using WeightsHandler = std::function<void(const std::string &model, std::int64_t version)>;
+    using WeightsHandler = std::function<void(const std::string &model, const WeightsVersion &weights)>;
     using OrderHandler = std::function<void(const RolloutOrder &order)>;
 
 private:
--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -129,7 +129,7 @@
             candidates.push_back(EndpointPlacement::Candidate{endpoint->id, endpoint->weightsVersion});
         }
     }
-    EndpointPlacement::Query query{m_criteria.prompt, candidates, wantedWeights(), m_services.weightsDeadline, m_excluded, m_loads};
+    EndpointPlacement::Query query{m_criteria.prompt, candidates, weightsHistory(), m_services.weightsDeadline, m_excluded, m_loads};
     query.gapTarget = m_criteria.gapTarget;
     query.tokensPerEvent = m_criteria.tokensPerEvent;
     query.targetLatency = m_criteria.targetLatency;
@@ -137,7 +137,7 @@
     return placement().rank(query, probedEngines, now);
 }
 
-const WeightsHistory &EndpointSearch::wantedWeights() const
+const WeightsHistory &EndpointSearch::weightsHistory() const
 {
     static const WeightsHistory none;
     if (!m_criteria.isEngineService) {
@@ -146,7 +146,7 @@
     std::string model = m_criteria.model;
     if (model.empty()) {
         for (const ListedEndpoint *endpoint : m_services.endpointFeed.directory().available(m_criteria.service)) {
-            model = endpoint->model;
+            model = endpoint->model.empty() ? model : endpoint->model;
         }
     }
     return m_services.operatorFeed.weights(model);
@@ -154,7 +154,7 @@
 
 std::optional<WeightsCutoff> EndpointSearch::weightsCutoff(const EndpointPlacement::Choice &choice) const
 {
-    const SetWeights *successor = wantedWeights().successorOf(choice.weightsVersion);
+    const WeightsVersion *successor = weightsHistory().successorOf(choice.weightsVersion);
     return successor == nullptr ? std::nullopt : std::optional<WeightsCutoff>(WeightsCutoff(*successor, m_services.weightsDeadline));
 }
 
--- a/main/proxy/endpointsearch.h
+++ b/main/proxy/endpointsearch.h
@@ -95,7 +95,7 @@
     /** Whether the endpoint has a software version that the next attempt may go to. */
     bool isOfVersion(const ListedEndpoint &endpoint) const;
     /** The weights versions set for the model of the request. */
-    const WeightsHistory &wantedWeights() const;
+    const WeightsHistory &weightsHistory() const;
     /** The limit on the use of the weights of @p choice; nullopt if they are the newest. */
     std::optional<WeightsCutoff> weightsCutoff(const EndpointPlacement::Choice &choice) const;
     /** The shortest time for which an endpoint of the service still wants no request; nullopt if none has asked for a wait. */
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -501,7 +501,7 @@
                           {"config", std::to_string(m_config->version)},
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(choice.weightsVersion)},
-                          {"wanted", std::to_string(m_endpointSearch->wantedWeights().wantedVersion())},
+                          {"wanted", std::to_string(m_endpointSearch->weightsHistory().wantedVersion())},
                           {"outdatedBy", cutoff.has_value() ? std::to_string(cutoff->version()) : ""},
                           {"cutoffInMs", cutoff.has_value() ? millisecondsText(cutoff->deadline() - m_sentAt) : ""},
                           {"software", endpoint->softwareVersion},
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -160,8 +160,8 @@
             startHeldRequests();
         });
     });
-    m_operatorFeed.onWeights([this](const std::string &model, std::int64_t version) {
-        scheduleWeightsCutoff(model, version);
+    m_operatorFeed.onWeights([this](const std::string &model, const WeightsVersion &weights) {
+        scheduleWeightsCutoff(model, weights);
     });
     m_endpointFeed.onChange([this]() {
         startHeldRequests();
@@ -198,12 +198,11 @@
     return rollouts;
 }
 
-void ProxyRole::scheduleWeightsCutoff(const std::string &model, std::int64_t version)
+void ProxyRole::scheduleWeightsCutoff(const std::string &model, const WeightsVersion &weights)
 {
-    const SetWeights *weights = m_operatorFeed.weights(model).successorOf(version - 1);
-    const WeightsCutoff cutoff(*weights, m_services.weightsDeadline);
+    const WeightsCutoff cutoff(weights, m_services.weightsDeadline);
     const Duration delay = std::max(cutoff.abandonAt() - Loop::now(), Duration::zero());
-    m_core.timers().subscribeOnce(delay, [this, model, version](TimePoint) {
+    m_core.timers().subscribeOnce(delay, [this, model, version = weights.number](TimePoint) {
         abandonOldWeights(model, version);
     });
 }
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -62,7 +62,7 @@
     void startCall(HttpListener::ExchangeId id, HttpIncomingRequest request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     void removeCall(HttpListener::ExchangeId id);
-    void scheduleWeightsCutoff(const std::string &model, std::int64_t version);
+    void scheduleWeightsCutoff(const std::string &model, const WeightsVersion &weights);
     void abandonOldWeights(const std::string &model, std::int64_t version);
     /** Handles the starts that the list shows for the first time. */
     void handleListedStarts();
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -77,7 +77,7 @@
         m_subscribers.erase(link);
         m_promptTracker.dropOwner(link);
     });
-    m_operatorFeed.onWeights([this](const std::string &, std::int64_t) {
+    m_operatorFeed.onWeights([this](const std::string &, const WeightsVersion &) {
         // The order in which engines are updated follows from the current endpoint list, so it is read again.
         m_isListCurrent = false;
         m_endpointFeed.readOnce();
--- a/servers/endpointplacement.cpp
+++ b/servers/endpointplacement.cpp
@@ -206,7 +206,7 @@
         const auto found = m_engines.find(candidate.id);
         const Engine &engine = found == m_engines.end() ? unknown : found->second;
         const std::int64_t version = versionOf(candidate, now);
-        const SetWeights *successor = query.weights.successorOf(version);
+        const WeightsVersion *successor = query.weights.successorOf(version);
         if (isUnavailable(engine, now) || now < engine.avoidUntil
             || std::find(query.excluded.begin(), query.excluded.end(), candidate.id) != query.excluded.end()) {
             continue;
--- a/servers/weights/weightscutoff.cpp
+++ b/servers/weights/weightscutoff.cpp
@@ -17,13 +17,14 @@
 // Covers the way of a cancellation to the engine.
 constexpr Duration abandonMargin = std::chrono::milliseconds(300);
 
-// A daemon that has started since can't know when the version was set. A rollout is mostly over after this time.
+// A daemon that has started since can't know when the version was set. Less startMargin, this is shorter than the contact time,
+// from which on a daemon that has started is bound by the limit.
 constexpr Duration limitWithoutSetTime = std::chrono::milliseconds(4000);
 
 }
 
-WeightsCutoff::WeightsCutoff(const SetWeights &successor, Duration limit)
-    : m_version(successor.version)
+WeightsCutoff::WeightsCutoff(const WeightsVersion &successor, Duration limit)
+    : m_version(successor.number)
     , m_deadline(successor.setAt == timeNever ? successor.followedSince + std::min(limit, limitWithoutSetTime) : successor.setAt + limit)
 {
 }
--- a/servers/weights/weightscutoff.h
+++ b/servers/weights/weightscutoff.h
@@ -23,7 +23,7 @@
      * @param successor the version that outdates the older weights
      * @param limit the time from the setting of a version to its deadline
      */
-    WeightsCutoff(const SetWeights &successor, Duration limit);
+    WeightsCutoff(const WeightsVersion &successor, Duration limit);
 
     /** The version that outdates the older weights. */
     std::int64_t version() const;
--- a/servers/weights/weightshistory.h
+++ b/servers/weights/weightshistory.h
@@ -9,9 +9,9 @@
 {
 
 /** A weights version that the operators have set. */
-struct SetWeights
+struct WeightsVersion
 {
-    std::int64_t version = 0;
+    std::int64_t number = 0;
     /** When this daemon began to follow the versions. */
     TimePoint followedSince{};
     /** The earliest time at which the version can have been set; timeNever if that may be before followedSince. */
@@ -27,17 +27,17 @@
 {
 private:
     /** In ascending order of their versions. */
-    std::vector<SetWeights> m_versions;
+    std::vector<WeightsVersion> m_versions;
 
 public:
     /** Records a version; ignored if it is not newer than the wanted one. Returns whether it was recorded. */
-    bool record(const SetWeights &weights);
+    bool record(const WeightsVersion &weights);
 
     /** The newest version; 0 if none is set. */
     std::int64_t wantedVersion() const;
 
     /** The first version after @p version, which outdates it; nullptr if there is none. */
-    const SetWeights *successorOf(std::int64_t version) const;
+    const WeightsVersion *successorOf(std::int64_t version) const;
 };
 
 }
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -272,6 +272,28 @@
     CHECK(proxy.sendRequest("/model/x").head.status == 503);
 }
 
+// Guards against a deadline that a newer version replaces.
+TEST_CASE("[ProxyRole] A second weights version does not extend the use of weights that the first one has outdated")
+{
+    const std::string address = "127.0.0.1:18913";
+    ProxyFixture proxy;
+    Settings settings = entryDaemonSettings();
+    settings.platform->weightsDeadline = std::chrono::milliseconds(3500);
+    proxy.role.applySettings(settings);
+    FakeEndpoint engine(proxy.core.loop(), parseSocketAddress(address), "i-engine");
+    proxy.store.put("servers", "i-engine", makeEngineEntry(address, 1));
+    REQUIRE(proxy.eventuallyResponds("/model/x", "good-key", 200));
+    proxy.store.put("op", "version/m", R"({"model":"m","version":2})");
+    proxy.runFor(std::chrono::milliseconds(1000));
+    CHECK(proxy.sendRequest("/model/x").head.status == 200);
+    proxy.store.put("op", "version/m", R"({"model":"m","version":3})");
+    proxy.runFor(std::chrono::milliseconds(1600));
+    // By the deadline of the first version alone the engine may not be used any more, by that of the second one it might.
+    CHECK(proxy.sendRequest("/model/x").head.status == 503);
+    proxy.store.put("servers", "i-engine", makeEngineEntry(address, 2));
+    CHECK(proxy.eventuallyResponds("/model/x", "good-key", 200));
+}
+
 TEST_CASE("[ProxyRole] While the endpoint list changes constantly it is read rarely, and a leaving endpoint is noticed in time")
 {
     Settings settings = entryDaemonSettings();
--- a/tests/servers/endpointplacement_test.cpp
+++ b/tests/servers/endpointplacement_test.cpp
@@ -41,7 +41,7 @@
 {
     const Duration age = rejectsOldWeights ? weightsLimit : Duration::zero();
     WeightsHistory weights;
-    weights.record(SetWeights{wantedVersion, at - age, at - age});
+    weights.record(WeightsVersion{wantedVersion, at - age, at - age});
     return placement.choose({prompt, candidates, weights, weightsLimit, excluded, {}}, at);
 }
 
@@ -117,7 +117,7 @@
     std::map<std::string, std::int64_t> pending;
     const std::vector<std::string> none;
     WeightsHistory weights;
-    weights.record(SetWeights{2, now, now});
+    weights.record(WeightsVersion{2, now, now});
     for (std::uint64_t i = 0; i < daemons * 4; ++i) {
         EndpointPlacement placement{EndpointPlacement::Settings()};
         const PlacedPrompt prompt{i + 1, 0, promptTokens};
--- a/tests/servers/weights/weightscutoff_test.cpp
+++ b/tests/servers/weights/weightscutoff_test.cpp
@@ -39,7 +39,7 @@
 
 TEST_CASE("[WeightsCutoff] No request begins on old weights after the deadline, however long it waits in the engine's queue")
 {
-    const WeightsCutoff cutoff(SetWeights{2, setAt, setAt}, limit);
+    const WeightsCutoff cutoff(WeightsVersion{2, setAt, setAt}, limit);
     const Rule admits = [&](Duration predicted, TimePoint now) {
         return cutoff.admits(predicted, now);
     };
@@ -55,7 +55,7 @@
 
 TEST_CASE("[WeightsCutoff] Old weights are used while new ones load")
 {
-    const WeightsCutoff cutoff(SetWeights{2, setAt, setAt}, limit);
+    const WeightsCutoff cutoff(WeightsVersion{2, setAt, setAt}, limit);
     CHECK(cutoff.admits(std::chrono::milliseconds(300), setAt + std::chrono::seconds(4)));
     CHECK_FALSE(cutoff.admits(std::chrono::milliseconds(300), setAt + std::chrono::seconds(7)));
     CHECK(cutoff.abandonAt() < setAt + limit);
@@ -65,11 +65,11 @@
 {
     // The daemon was cut from the store for 6 s.
     const TimePoint receivedAt = setAt + std::chrono::seconds(6);
-    CHECK_FALSE(
-        WeightsCutoff(SetWeights{2, setAt - std::chrono::seconds(60), setAt}, limit).admits(std::chrono::milliseconds(300), receivedAt));
+    CHECK_FALSE(WeightsCutoff(WeightsVersion{2, setAt - std::chrono::seconds(60), setAt}, limit)
+                    .admits(std::chrono::milliseconds(300), receivedAt));
     // A daemon that has just started can't know the age of the version, and must not count a whole rollout from its start.
     const TimePoint startedAt = receivedAt;
-    const WeightsCutoff afterStart(SetWeights{2, startedAt, timeNever}, limit);
+    const WeightsCutoff afterStart(WeightsVersion{2, startedAt, timeNever}, limit);
     CHECK(afterStart.admits(std::chrono::milliseconds(300), startedAt + std::chrono::milliseconds(1500)));
     CHECK_FALSE(afterStart.admits(std::chrono::milliseconds(300), startedAt + std::chrono::seconds(4)));
 }
--- a/tests/servers/weights/weightsinarow_test.cpp
+++ b/tests/servers/weights/weightsinarow_test.cpp
@@ -117,8 +117,8 @@
     void receive(Daemon &daemon, TimePoint now)
     {
         const std::int64_t newest = newestAt(now);
-        SetWeights weights;
-        weights.version = newest;
+        WeightsVersion weights;
+        weights.number = newest;
         weights.followedSince = daemon.startedAt;
         weights.setAt = m_keeping == Keeping::FromReceipt ? now : daemon.confirmedAt;
         daemon.confirmedAt = now;
@@ -287,3 +287,18 @@
     CHECK(lateWithNewestOnly > 10);
     CHECK(lateFromReceipt > 0);
 }
+
+TEST_CASE("[WeightsHistory] However many versions are set, no deadline becomes later")
+{
+    WeightsHistory history;
+    for (int number = 1; number <= 1000; ++number) {
+        CHECK(history.record(WeightsVersion{number, start, start + milliseconds(number)}));
+    }
+    CHECK(history.wantedVersion() == 1000);
+    CHECK(history.successorOf(1000) == nullptr);
+    CHECK_FALSE(history.record(WeightsVersion{999, start, start}));
+    for (int number = 0; number < 1000; ++number) {
+        REQUIRE(history.successorOf(number) != nullptr);
+        CHECK(history.successorOf(number)->setAt <= start + milliseconds(number + 1));
+    }
+}
