Give up attempts on outdated weights by the history and the limit in force

Callers whose request waits in the queue of an engine with older weights: the time at which it is given up was fixed by a timer when the version came, so a limit lowered by a reload did not hold for them, nor did it for requests of a model named otherwise. Cause: the deadline was computed once, at receipt, apart from the one that placement uses. Change: each 100 ms the calls compare their weights with the same history and limit as placement does; one timer for all. Measured: the new test fails on the code before (no response when the lowered limit has passed), and holds now.

--- a/main/proxy/endpointsearch.cpp
+++ b/main/proxy/endpointsearch.cpp
@@ -152,9 +152,9 @@
     return m_services.operatorFeed.weights(model);
 }
 
-std::optional<WeightsCutoff> EndpointSearch::weightsCutoff(const EndpointPlacement::Choice &choice) const
+std::optional<WeightsCutoff> EndpointSearch::weightsCutoff(std::int64_t version) const
 {
-    const WeightsVersion *successor = weightsHistory().successorOf(choice.weightsVersion);
+    const WeightsVersion *successor = weightsHistory().successorOf(version);
     return successor == nullptr ? std::nullopt : std::optional<WeightsCutoff>(WeightsCutoff(*successor, m_services.weightsDeadline));
 }
 
--- a/main/proxy/endpointsearch.h
+++ b/main/proxy/endpointsearch.h
@@ -96,8 +96,8 @@
     bool isOfVersion(const ListedEndpoint &endpoint) const;
     /** The weights versions set for the model of the request. */
     const WeightsHistory &weightsHistory() const;
-    /** The limit on the use of the weights of @p choice; nullopt if they are the newest. */
-    std::optional<WeightsCutoff> weightsCutoff(const EndpointPlacement::Choice &choice) const;
+    /** The limit on the use of weights of @p version; nullopt if they are the newest. */
+    std::optional<WeightsCutoff> weightsCutoff(std::int64_t version) const;
     /** The shortest time for which an endpoint of the service still wants no request; nullopt if none has asked for a wait. */
     std::optional<Duration> shortestWait() const;
     /** Cancels a running search; its handler is not called. */
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -491,7 +491,7 @@
         handleEnd(result, cause);
     };
     m_endpointCall = m_services.pool.send(std::move(call), std::move(handlers));
-    const std::optional<WeightsCutoff> cutoff = m_endpointSearch->weightsCutoff(choice);
+    const std::optional<WeightsCutoff> cutoff = m_endpointSearch->weightsCutoff(choice.weightsVersion);
     if (cutoff.has_value()) {
         m_services.metrics.increment("requests sent to older weights");
     }
@@ -928,18 +928,21 @@
     finish("caller gone");
 }
 
-void ProxyCall::abandonOldWeights(const std::string &model, std::int64_t version)
+void ProxyCall::abandonOldWeights(TimePoint now)
 {
-    const bool isOtherModel = !m_request.model.empty() && m_request.model != model;
-    if (m_endpoint.empty() || !m_isEngineService || m_isPromptDone || m_sentWeights >= version || isOtherModel) {
+    if (m_endpoint.empty() || !m_isEngineService || m_isPromptDone) {
+        return;
+    }
+    const std::optional<WeightsCutoff> cutoff = m_endpointSearch->weightsCutoff(m_sentWeights);
+    if (!cutoff.has_value() || now < cutoff->abandonAt()) {
         return;
     }
     m_services.log.write("request", "given up on older weights",
                          {{"request", m_request.id},
                           {"endpoint", m_endpoint},
                           {"weights", std::to_string(m_sentWeights)},
-                          {"outdatedBy", std::to_string(version)},
-                          {"sinceSentMs", millisecondsText(Loop::now() - m_sentAt)}});
+                          {"outdatedBy", std::to_string(cutoff->version())},
+                          {"sinceSentMs", millisecondsText(now - m_sentAt)}});
     m_services.pool.cancel(m_endpointCall);
     releaseEndpoint();
     handleBroken();
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -174,11 +174,8 @@
     /** Ends the request and closes the connection to the endpoint, which signals the cancellation. */
     void handleCallerDisconnect();
 
-    /**
-     * Gives the current attempt up if it has not begun and its engine has weights older than @p version of @p model,
-     * as no request may begin there any more.
-     */
-    void abandonOldWeights(const std::string &model, std::int64_t version);
+    /** Gives the current attempt up if it has not begun and its engine has weights on which no request may begin any more. */
+    void abandonOldWeights(TimePoint now);
 
     /**
      * Ends the current attempt as broken if its endpoint has started again since under the same id, or if its endpoint daemon has
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -30,6 +30,9 @@
 
 constexpr Duration idleCheckPeriod = std::chrono::milliseconds(200);
 
+// The part of WeightsCutoff's margin by which an attempt on outdated weights may be given up later.
+constexpr Duration weightsCheckPeriod = std::chrono::milliseconds(100);
+
 // Other entry daemons accept the request immediately.
 constexpr Duration retryAfterWhileStopping = std::chrono::milliseconds(20);
 
@@ -160,8 +163,10 @@
             startHeldRequests();
         });
     });
-    m_operatorFeed.onWeights([this](const std::string &model, const WeightsVersion &weights) {
-        scheduleWeightsCutoff(model, weights);
+    core.timers().subscribe(weightsCheckPeriod, [this](TimePoint now) {
+        for (ProxyCall *call : currentCalls()) {
+            call->abandonOldWeights(now);
+        }
     });
     m_endpointFeed.onChange([this]() {
         startHeldRequests();
@@ -198,22 +203,6 @@
     return rollouts;
 }
 
-void ProxyRole::scheduleWeightsCutoff(const std::string &model, const WeightsVersion &weights)
-{
-    const WeightsCutoff cutoff(weights, m_services.weightsDeadline);
-    const Duration delay = std::max(cutoff.abandonAt() - Loop::now(), Duration::zero());
-    m_core.timers().subscribeOnce(delay, [this, model, version = weights.number](TimePoint) {
-        abandonOldWeights(model, version);
-    });
-}
-
-void ProxyRole::abandonOldWeights(const std::string &model, std::int64_t version)
-{
-    for (ProxyCall *call : currentCalls()) {
-        call->abandonOldWeights(model, version);
-    }
-}
-
 void ProxyRole::handleListedStarts()
 {
     // A handler may change the list, so the starts are copied.
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -62,8 +62,6 @@
     void startCall(HttpListener::ExchangeId id, HttpIncomingRequest request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     void removeCall(HttpListener::ExchangeId id);
-    void scheduleWeightsCutoff(const std::string &model, const WeightsVersion &weights);
-    void abandonOldWeights(const std::string &model, std::int64_t version);
     /** Handles the starts that the list shows for the first time. */
     void handleListedStarts();
     /** Asks endpoints for their ids where the list leaves it open which one is at an address. */
--- a/tests/main/proxyrole_test.cpp
+++ b/tests/main/proxyrole_test.cpp
@@ -272,6 +272,37 @@
     CHECK(proxy.sendRequest("/model/x").head.status == 503);
 }
 
+// Guards against a deadline that is fixed when the version is received.
+TEST_CASE("[ProxyRole] A request that waits on old weights is given up by the limit in force, also if that is lowered meanwhile")
+{
+    const std::string address = "127.0.0.1:18913";
+    ProxyFixture proxy;
+    Settings settings = entryDaemonSettings();
+    settings.platform->weightsDeadline = std::chrono::seconds(60);
+    proxy.role.applySettings(settings);
+    FakeEndpoint engine(proxy.core.loop(), parseSocketAddress(address), "i-engine");
+    proxy.store.put("servers", "i-engine", makeEngineEntry(address, 1));
+    REQUIRE(proxy.eventuallyResponds("/model/x", "good-key", 200));
+    engine.behaviour = Behaviour::NoResponse;
+    engine.received.clear();
+    Response response;
+    proxy.callers.fetch(proxy.makeCall("/model/x", "good-key"), std::chrono::seconds(4),
+                        [&](HttpCallResult result, const HttpHead &head, const std::string &body) {
+                            response = Response{result, head, body, true};
+                        });
+    REQUIRE(fakes::runUntil(proxy.core.loop(), [&]() {
+        return engine.received.size() == 1;
+    }));
+    proxy.store.put("op", "version/m", R"({"model":"m","version":2})");
+    proxy.runFor(std::chrono::milliseconds(200));
+    CHECK_FALSE(response.isDone);
+    settings.platform->weightsDeadline = std::chrono::milliseconds(300);
+    proxy.role.applySettings(settings);
+    proxy.runFor(std::chrono::milliseconds(300));
+    CHECK(response.isDone);
+    CHECK(response.head.status == 502);
+}
+
 // Guards against a deadline that a newer version replaces.
 TEST_CASE("[ProxyRole] A second weights version does not extend the use of weights that the first one has outdated")
 {
