A removed endpoint that the newest read of the list lacks does not come back after 5 s

After a restore of the store, an endpoint that was removed and that the older copy lists again is held back for 5 s, and then counts as running if it is still listed. If the list was read anew within these 5 s (a second restore, or a dropped change history) and no longer had the endpoint, no removal was delivered and the endpoint was used all the same, until the next change of its entry: callers were sent to an endpoint that was gone.

Cause: replaceAll() compares the new list with the endpoints in use only, not with those that are held back. Each of these now ends with the first list that lacks it.

--- a/servers/endpointdirectory.cpp
+++ b/servers/endpointdirectory.cpp
@@ -164,6 +164,9 @@
             put(std::move(endpoint));
         }
     }
+    for (auto it = m_doubtful.begin(); it != m_doubtful.end();) {
+        it = present.count(it->first) == 0 ? m_doubtful.erase(it) : std::next(it);
+    }
     std::vector<std::string> missing;
     for (const std::pair<const std::string, ListedEndpoint> &entry : m_endpoints) {
         if (present.count(entry.first) == 0) {
--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -110,6 +110,26 @@
     CHECK(directory.find("gone") == nullptr);
 }
 
+TEST_CASE("[EndpointDirectory] A removed endpoint that one older copy of the list has and the next one lacks is not used")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("gone"));
+    directory.put(endpoint("silent"));
+    directory.remove("gone", start);
+    directory.remove("silent", start);
+    directory.replaceAll({endpoint("gone"), endpoint("silent")}, start + std::chrono::seconds(1), true);
+    // The store is restored again, or its history was dropped, and the list is read again.
+    const bool isOlderCopy = GENERATE(true, false);
+    directory.replaceAll({}, start + std::chrono::seconds(3), isOlderCopy);
+    CHECK_FALSE(directory.applyDueRemovals(start + std::chrono::seconds(20)));
+    CHECK(directory.available("pool").empty());
+    // A third copy that has the entry again starts its wait anew.
+    directory.replaceAll({endpoint("silent")}, start + std::chrono::seconds(21), true);
+    CHECK(directory.available("pool").empty());
+    CHECK(directory.applyDueRemovals(start + std::chrono::seconds(26)));
+    CHECK(directory.available("pool").size() == 1);
+}
+
 TEST_CASE("[EndpointDirectory] An endpoint that an older copy of the list lacks is kept for the grace period")
 {
     EndpointDirectory directory(grace);
