Floors of accounts that the configuration lacks stay in the row of their shard

Own interface: an account that was removed from the configuration and added again could get its whole burst anew, although it had just used it, if the holder of its shard was replaced twice meanwhile.

Cause: a holder writes the floors of the accounts that it has buckets for, which are those of the configuration at its activation and later. The first write of a holder that starts while the account is removed drops its floor, and the holder after it takes an account without a floor for a new one. The row now keeps the floors of the row that the holder started from. It thereby also keeps those of accounts that never come back (one number each).

--- a/servers/limitholder.cpp
+++ b/servers/limitholder.cpp
@@ -182,7 +182,8 @@
         return std::nullopt;
     }
     bool hasChange = false;
-    LimitRow row;
+    // Accounts that the configuration lacks keep their floors, as it may have them again under the next holder.
+    LimitRow row = m_initialRow;
     row.epoch = m_epoch;
     for (std::pair<const std::string, Bucket> &entry : m_buckets) {
         Bucket &bucket = entry.second;
--- a/tests/servers/limitholder_test.cpp
+++ b/tests/servers/limitholder_test.cpp
@@ -465,6 +465,21 @@
     CHECK(holder.level(account, now + std::chrono::seconds(1)) == 600);
 }
 
+TEST_CASE("[LimitHolder] An account that is removed and added again does not get its burst anew from the holder after the next")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    // An earlier holder has granted the whole burst of the account, which the configuration then lacks for a while.
+    LimitHolder second{LimitHolder::Settings()};
+    second.activate(LimitRow{2, {{account, 0}, {"mill-b", 0}}}, now);
+    second.setAccount("mill-b", rate, burst, now);
+    const std::optional<LimitRow> row = second.nextWrite(now + std::chrono::seconds(10));
+    REQUIRE(row.has_value());
+    LimitHolder third{LimitHolder::Settings()};
+    third.activate(LimitRow{3, row->floors}, now + std::chrono::seconds(10));
+    third.setAccount(account, rate, burst, now + std::chrono::seconds(10));
+    CHECK(third.level(account, now + std::chrono::seconds(10)) == 0);
+}
+
 TEST_CASE("[LimitHolder] A reservation for an unconfigured account is refused")
 {
     LimitHolder holder{LimitHolder::Settings()};
