An older copy of the list does not bring back an earlier start of an endpoint

After a restore of the store, requests could be sent to an endpoint that had announced that it leaves, or that was removed, until its entry was written again or expired: if the endpoint had started again under its id before, and the older copy still listed the earlier start.

Cause: what is known of a departure is kept for the last start of an id only and was compared for the same start only, so an earlier start counted as one that nothing is known of; and its entry replaced the one of the running start. Earlier starts in an older copy are now held back after a departure, and do not replace a later start.

--- a/servers/endpointdirectory.cpp
+++ b/servers/endpointdirectory.cpp
@@ -98,6 +98,12 @@
     return found != m_departures.end() && found->second.startedMs == endpoint.startedMs ? &found->second : nullptr;
 }
 
+bool EndpointDirectory::hasDeparted(const ListedEndpoint &endpoint) const
+{
+    const auto found = m_departures.find(endpoint.id);
+    return found != m_departures.end() && endpoint.startedMs <= found->second.startedMs;
+}
+
 void EndpointDirectory::recordDeparture(const ListedEndpoint &endpoint)
 {
     if (m_departures.size() >= maxDepartures) {
@@ -158,9 +164,11 @@
     for (ListedEndpoint &endpoint : endpoints) {
         const std::string id = endpoint.id;
         present.insert(id);
-        if (isOlderCopy && m_endpoints.count(id) == 0 && findDeparture(endpoint) != nullptr) {
+        const auto known = m_endpoints.find(id);
+        const bool isEarlierStart = isOlderCopy && known != m_endpoints.end() && endpoint.startedMs < known->second.startedMs;
+        if (isOlderCopy && known == m_endpoints.end() && hasDeparted(endpoint)) {
             m_doubtful[id] = {std::move(endpoint), now + expiryTime};
-        } else {
+        } else if (!isEarlierStart) {
             put(std::move(endpoint));
         }
     }
--- a/servers/endpointdirectory.h
+++ b/servers/endpointdirectory.h
@@ -88,6 +88,8 @@
     bool isDisplacedBy(const ListedEndpoint &endpoint, const ListedEndpoint &other) const;
     void erase(std::map<std::string, ListedEndpoint>::iterator endpoint);
     const Departure *findDeparture(const ListedEndpoint &endpoint) const;
+    /** Whether this start of the endpoint, or a later one, leaves or was removed. */
+    bool hasDeparted(const ListedEndpoint &endpoint) const;
     void recordDeparture(const ListedEndpoint &endpoint);
 
 public:
--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -130,6 +130,31 @@
     CHECK(directory.available("pool").size() == 1);
 }
 
+TEST_CASE("[EndpointDirectory] An older copy of the list that has an earlier start of an endpoint changes nothing about the later one")
+{
+    EndpointDirectory directory(grace);
+    ListedEndpoint first = endpoint("a");
+    first.startedMs = 1000;
+    ListedEndpoint second = endpoint("a");
+    second.startedMs = 2000;
+    directory.put(first);
+    directory.put(second);
+    directory.replaceAll({first}, start, true);
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->startedMs == 2000);
+    second.isDraining = true;
+    directory.put(second);
+    directory.replaceAll({first}, start, true);
+    CHECK(directory.available("pool").empty());
+    directory.remove("a", start);
+    directory.replaceAll({first}, start, true);
+    CHECK(directory.available("pool").empty());
+    ListedEndpoint third = endpoint("a");
+    third.startedMs = 3000;
+    directory.put(third);
+    CHECK(directory.available("pool").size() == 1);
+}
+
 TEST_CASE("[EndpointDirectory] An endpoint that an older copy of the list lacks is kept for the grace period")
 {
     EndpointDirectory directory(grace);
