--- a/tests/servers/quota_test.cpp
+++ b/tests/servers/quota_test.cpp
@@ -1,9 +1,12 @@
 #include "servers/quotagate.h"
 #include "servers/quotaholder.h"
+#include "tests/fakes/seeds.h"
 
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <iterator>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -103,6 +106,51 @@
     }
 }
 
+TEST_CASE("[QuotaHolder] A limit that is lowered, raised and lowered again binds each time")
+{
+    // An account asks for more than the higher limit all the time. Daemons apply changes late, and requests that wait for tokens
+    // keep the limits that they arrived under.
+    constexpr Duration applyTime = std::chrono::seconds(2);
+    constexpr Duration maxWait = std::chrono::seconds(1);
+    const std::size_t daemons = GENERATE(5, 33);
+    const std::uint64_t failingSeed = findFailingSeed(Seeds(60), [&](std::uint64_t seed) {
+        std::mt19937 random(static_cast<unsigned int>(seed));
+        std::uniform_real_distribution<double> chance(0, 1);
+        std::map<TimePoint, double> rates{{start - std::chrono::seconds(60), 190000}};
+        for (int i = 0; i < 8; ++i) {
+            rates[start + fromSeconds(30 * chance(random))] = i % 2 == 0 ? 10000 + 40000 * chance(random) : 190000;
+        }
+        std::vector<QuotaGate> gates(daemons, QuotaGate(tolerance));
+        std::vector<Duration> delays(daemons + 1);
+        QuotaHolder holder(tolerance);
+        holder.setDaemonCount(static_cast<int>(daemons));
+        for (std::size_t i = 0; i < delays.size(); ++i) {
+            delays[i] = fromSeconds(chance(random) * toSeconds(applyTime));
+        }
+        bool isKept = true;
+        WindowMaximum used;
+        for (TimePoint now = start; now < start + std::chrono::seconds(50); now += std::chrono::milliseconds(15)) {
+            const std::size_t daemon = random() % daemons;
+            gates[daemon].setDaemonCount(static_cast<int>(daemons));
+            const double tokens = 2000 + 20000 * chance(random);
+            const Duration waited = chance(random) < 0.3 ? fromSeconds(chance(random) * toSeconds(maxWait)) : Duration::zero();
+            const TrafficAccount atDaemon = account(std::prev(rates.upper_bound(now - delays[daemon] - waited))->second);
+            const TrafficAccount atHolder = account(std::prev(rates.upper_bound(now - delays[daemons]))->second);
+            const bool isAdmitted = gates[daemon].tryConsume(atDaemon, tokens, now) || holder.reserve(atHolder, tokens, now).isGranted;
+            used.maximum = 0;
+            used.add(now, isAdmitted ? tokens : 0);
+            double highest = 0;
+            for (auto it = std::prev(rates.upper_bound(now - window - applyTime)); it != rates.upper_bound(now); ++it) {
+                highest = std::max(highest, it->second);
+            }
+            isKept = isKept && used.maximum <= highest * (toSeconds(window) + 1) * (1 + tolerance.overshoot) + tolerance.slack;
+        }
+        return isKept;
+    });
+    INFO("daemons " << daemons);
+    CHECK(failingSeed == 0);
+}
+
 TEST_CASE("[QuotaHolder] At most one percent of the requests within the rate are refused when most go to one daemon")
 {
     // The requests are large relative to the rate, and nearly all go to one daemon.
