Test: two faults of roll-outs that come in a row (known red)

- Each order for a version begins with an exposure of 0, also while the bound of an earlier order for the same version counts on.
- An entry daemon that reads the row of the next order before it has read that the last one was reverted does not know that the version is bad: streams go on there, and other requests reach it if the versions in use have gone.

Not mended: the row would have to state versions that were reverted, and the exposure that counts on; the second changes how fast a good version is completed that is ordered again.

--- a/tests/servers/rollouts/rolloutholder_test.cpp
+++ b/tests/servers/rollouts/rolloutholder_test.cpp
@@ -253,6 +253,26 @@
     CHECK(single.holder.order()->to == "v3");
 }
 
+// Guards against a version that is granted the whole exposure anew by each order, before the deadline of the first one.
+TEST_CASE("RolloutHolder counts the exposure of earlier orders for the same version whose deadlines have not passed",
+          "[RolloutHolder][!mayfail]")
+{
+    SingleHolder single;
+    std::int64_t granted = 0;
+    for (const std::int64_t order : {7, 8, 9}) {
+        single.begin(orderTo("v2", order));
+        RolloutPermit permit;
+        for (int report = 0; report < 35; ++report) {
+            single.now += second / 10;
+            single.write();
+            permit = single.holder.handleReport(reportOf("e#1", 0, 0), single.now);
+        }
+        REQUIRE(single.row->order == order);
+        granted += permit.granted;
+    }
+    CHECK(static_cast<double>(granted) <= RolloutBounds().exposureSlack);
+}
+
 // Guards against an order for the version in use that sends its traffic away, and against completion before the entry daemons know it.
 TEST_CASE("RolloutHolder closes an order for the version in use at once", "[RolloutHolder]")
 {
--- a/tests/servers/rollouts/versionaccess_test.cpp
+++ b/tests/servers/rollouts/versionaccess_test.cpp
@@ -259,6 +259,20 @@
     CHECK(entry.access.order()->id == 7);
 }
 
+// Guards against streams that go on at a bad version, or requests for it once nothing else is left, if the next order replaced the row
+// before this daemon read the reversion.
+TEST_CASE("VersionAccess refuses a reverted version also if it reads the next order first", "[VersionAccess][!mayfail]")
+{
+    Entry entry;
+    entry.order(RolloutPhase::Canary);
+    entry.access.setListed({{"v1", start}, {"v2", start}, {"v3", start}}, entry.now);
+    entry.access.setOrder(orderTo("v3", 6), entry.now);
+    entry.access.setRow(rowOf(orderTo("v3", 6), RolloutPhase::Canary), entry.now);
+    CHECK_FALSE(entry.isPinnedAllowed("v2"));
+    entry.access.setListed({{"v2", start}, {"v3", start}}, entry.now);
+    CHECK(entry.excluded().count("v2") == 1);
+}
+
 // Guards against an order for the only version that interrupts its traffic until the holder has written the row.
 TEST_CASE("VersionAccess goes on with the version in use when it is ordered", "[VersionAccess]")
 {
