--- a/tests/servers/endpointdirectory_test.cpp
+++ b/tests/servers/endpointdirectory_test.cpp
@@ -110,6 +110,51 @@
     CHECK(directory.find("gone") == nullptr);
 }
 
+TEST_CASE("[EndpointDirectory] A removed endpoint that one older copy of the list has and the next one lacks is not used")
+{
+    EndpointDirectory directory(grace);
+    directory.put(endpoint("gone"));
+    directory.put(endpoint("silent"));
+    directory.remove("gone", start);
+    directory.remove("silent", start);
+    directory.replaceAll({endpoint("gone"), endpoint("silent")}, start + std::chrono::seconds(1), true);
+    // The store is restored again, or its history was dropped, and the list is read again.
+    const bool isOlderCopy = GENERATE(true, false);
+    directory.replaceAll({}, start + std::chrono::seconds(3), isOlderCopy);
+    CHECK_FALSE(directory.applyDueRemovals(start + std::chrono::seconds(20)));
+    CHECK(directory.available("pool").empty());
+    // A third copy that has the entry again starts its wait anew.
+    directory.replaceAll({endpoint("silent")}, start + std::chrono::seconds(21), true);
+    CHECK(directory.available("pool").empty());
+    CHECK(directory.applyDueRemovals(start + std::chrono::seconds(26)));
+    CHECK(directory.available("pool").size() == 1);
+}
+
+TEST_CASE("[EndpointDirectory] An older copy of the list that has an earlier start of an endpoint changes nothing about the later one")
+{
+    EndpointDirectory directory(grace);
+    ListedEndpoint first = endpoint("a");
+    first.startedMs = 1000;
+    ListedEndpoint second = endpoint("a");
+    second.startedMs = 2000;
+    directory.put(first);
+    directory.put(second);
+    directory.replaceAll({first}, start, true);
+    REQUIRE(directory.available("pool").size() == 1);
+    CHECK(directory.available("pool").front()->startedMs == 2000);
+    second.isDraining = true;
+    directory.put(second);
+    directory.replaceAll({first}, start, true);
+    CHECK(directory.available("pool").empty());
+    directory.remove("a", start);
+    directory.replaceAll({first}, start, true);
+    CHECK(directory.available("pool").empty());
+    ListedEndpoint third = endpoint("a");
+    third.startedMs = 3000;
+    directory.put(third);
+    CHECK(directory.available("pool").size() == 1);
+}
+
 TEST_CASE("[EndpointDirectory] An endpoint that an older copy of the list lacks is kept for the grace period")
 {
     EndpointDirectory directory(grace);
