Bound what an entry daemon holds of all responses together

Callers saw: a faulty endpoint that sends bytes without end, or stops just short of their end, in many responses at once makes the entry daemon hold all of them. Each response was inside its own limit, and the daemon grew to three times the memory of its VM (88 MB), where it is ended with the requests of all other callers.

Cause: a limit for each response (head 64 KB, unsigned or buffered body 256 KB, one event 1 MB), none for their number. Besides: - heads of many short lines take about ten times their bytes once parsed, and are held twice; - assigning an empty string to a long one keeps its memory (libstdc++ copies short strings into the old buffer), so that buffers of sockets, relays and rejected requests were not returned; - an attempt that ended kept its body while the next one waited, and a call kept it until it was destroyed; - buffers that grow by doubling left outgrown pieces in the heap.

Change: ResponseBudget (no I/O) counts what HttpPool and the handlers of its calls hold. Beyond the bound (IntakeBounds: half of that for requests, an eighth of the VM's memory) the response that holds most gives way: a sound one that is buffered is forwarded, and read on at the pace of its caller, any other is broken off. From half of the bound on, sound bodies over 32 KB are forwarded at once. Responses of the store aren't counted. A response broken off here is no evidence about crashes.

Tests: citronspar-crowds, 13 endless cases, 200 requests at once to the faulty endpoint, memoryMb 88; bound 44 MiB resident (half of the VM's memory), fixed before the change; requests to a sound service go on.

--- a/drivers/httplistener.cpp
+++ b/drivers/httplistener.cpp
@@ -1,5 +1,7 @@
 #include "drivers/httplistener.h"
 
+#include "core/longbuffer.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -388,7 +390,7 @@
     connection.isClosing = true;
     releaseHeld(connection);
     connection.request = HttpIncomingRequest();
-    connection.input = std::string();
+    releaseLong(connection.input);
     connection.socket->write(head.serializeResponse() + "\r\n");
     if (connection.socket->bufferedBytes() == 0) {
         removeConnection(id);
--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -1,8 +1,11 @@
 #include "drivers/httppool.h"
 
+#include "core/longbuffer.h"
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -29,6 +32,20 @@
 
 constexpr std::uint64_t unlimitedBodyBytes = std::numeric_limits<std::uint64_t>::max();
 
+constexpr std::size_t maxCopiedBytes = 1024;
+
+// A head is held twice: by its reader, and by the caller of the pool.
+constexpr std::size_t headCopies = 2;
+
+std::size_t memoryOf(const HttpHead &head)
+{
+    std::size_t bytes = head.reason.size() + head.fields.capacity() * sizeof(HttpHead::Field);
+    for (const HttpHead::Field &field : head.fields) {
+        bytes += field.first.size() + field.second.size();
+    }
+    return bytes * headCopies;
+}
+
 Duration keepAliveTimeoutOf(const HttpHead &head)
 {
     const std::string *keepAlive = head.find("Keep-Alive");
@@ -60,6 +77,8 @@
         return "malformed";
     case HttpBreakCause::GivenUp:
         return "given up";
+    case HttpBreakCause::MemoryBound:
+        return "memory bound";
     }
     return "";
 }
@@ -137,6 +156,7 @@
     connection.request = std::move(call);
     connection.handlers = std::make_shared<const Handlers>(std::move(handlers));
     connection.hasSent = false;
+    connection.handlerBytes = 0;
     m_calls[callId] = id;
     if (connection.isConnected) {
         sendRequest(id);
@@ -169,6 +189,7 @@
             return;
         }
         response->body.append(data);
+        recordHeld(response->id, response->body.size());
     };
     const CallId id = send(std::move(call), std::move(handlers));
     response->id = id;
@@ -194,7 +215,7 @@
     }
     std::string bytes = head.serializeRequest() + "\r\n";
     bytes += connection.request.body;
-    connection.request.body = std::string();
+    releaseLong(connection.request.body);
     connection.socket->write(bytes);
 }
 
@@ -202,6 +223,7 @@
 {
     Connection &connection = m_connections.at(id);
     connection.isDiscarding = false;
+    connection.headBytes = 0;
     HttpReadLimits limits;
     limits.maxHeaderBytes = maxResponseHeaderBytes;
     limits.maxBodyBytes = unlimitedBodyBytes;
@@ -213,6 +235,7 @@
                 return;
             }
             Connection &current = found->second;
+            current.headBytes = memoryOf(head);
             const std::string &echo = current.request.echoHeader;
             const std::string *echoed = echo.empty() ? nullptr : head.find(echo);
             if (current.isReused && !echo.empty() && echoed == nullptr && head.status >= firstFinalStatus) {
@@ -236,6 +259,35 @@
 }
 
 void HttpPool::receive(ConnectionId id, std::string_view data)
+{
+    readResponses(id, data);
+    enforceBound();
+}
+
+void HttpPool::countHeld(const Connection &connection)
+{
+    if (connection.call != 0 && connection.request.isHeldBytesCounted) {
+        m_responses.record(connection.call, connection.input.size() + connection.headBytes + connection.handlerBytes);
+    }
+}
+
+void HttpPool::enforceBound()
+{
+    std::optional<ResponseBudget::ResponseId> largest = m_responses.largestBeyondBound();
+    for (; largest.has_value(); largest = m_responses.largestBeyondBound()) {
+        const std::size_t heldBytes = m_responses.heldBytes(*largest);
+        const std::shared_ptr<const Handlers> handlers = m_connections.at(m_calls.at(*largest)).handlers;
+        if (handlers->onMemoryNeeded) {
+            handlers->onMemoryNeeded();
+        }
+        const auto found = m_calls.find(*largest);
+        if (found != m_calls.end() && m_responses.heldBytes(*largest) >= heldBytes) {
+            closeConnection(found->second, HttpCallResult::Broken, HttpBreakCause::MemoryBound);
+        }
+    }
+}
+
+void HttpPool::readResponses(ConnectionId id, std::string_view data)
 {
     const auto first = m_connections.find(id);
     if (first == m_connections.end()) {
@@ -246,7 +298,7 @@
         closeConnection(id, HttpCallResult::Broken);
         return;
     }
-    first->second.input.append(data);
+    appendLong(first->second.input, data);
     if (first->second.isDiscarding || !first->second.reader->hasHead()) {
         first->second.skippedBytes += data.size();
     }
@@ -263,7 +315,12 @@
         if (m_connections.count(id) == 0) {
             return;
         }
-        connection.input = std::move(input);
+        if (!reader->hasHead()) {
+            connection.headBytes = memoryOf(reader->head());
+        }
+        // A connection whose input has been read, but for the start of a chunk, keeps no memory for it.
+        connection.input = input.size() < maxCopiedBytes ? std::string(input) : std::move(input);
+        countHeld(connection);
         if (state == HttpReadState::NeedsMore) {
             return;
         }
@@ -296,6 +353,7 @@
     }
     const std::shared_ptr<const Handlers> handlers = std::move(connection.handlers);
     m_calls.erase(connection.call);
+    m_responses.remove(connection.call);
     connection.call = 0;
     connection.handlers.reset();
     connection.reader.reset();
@@ -329,6 +387,7 @@
     const std::shared_ptr<TcpSocket> socket(std::move(connection.socket));
     m_connections.erase(found);
     m_calls.erase(call);
+    m_responses.remove(call);
     if (call != 0 && result != HttpCallResult::Complete) {
         // A reset also discards output that has not reached the server yet.
         socket->abort();
@@ -382,6 +441,30 @@
     }
 }
 
+void HttpPool::recordHeld(CallId id, std::size_t bytes)
+{
+    Connection *connection = connectionOf(id);
+    if (connection != nullptr) {
+        connection->handlerBytes = bytes;
+        countHeld(*connection);
+    }
+}
+
+void HttpPool::setMaxHeldBytes(std::size_t bytes)
+{
+    m_responses.setMaxBytes(bytes);
+}
+
+std::size_t HttpPool::heldBytes() const
+{
+    return m_responses.totalBytes();
+}
+
+bool HttpPool::isUnderPressure() const
+{
+    return m_responses.isUnderPressure();
+}
+
 void HttpPool::closeIdle(const std::string &poolKey)
 {
     const auto found = m_idleConnections.find(poolKey);
--- a/drivers/httppool.h
+++ b/drivers/httppool.h
@@ -3,6 +3,7 @@
 #include "drivers/httphead.h"
 #include "drivers/httpreader.h"
 #include "drivers/tcpsocket.h"
+#include "servers/intake/responsebudget.h"
 
 #include <cstdint>
 #include <functional>
@@ -36,6 +37,8 @@
     Malformed,
     /** The caller of the pool gave the call up. */
     GivenUp,
+    /** All responses together hold more than the bound, and this one most. */
+    MemoryBound,
 };
 
 /** Name for log lines. */
@@ -59,6 +62,8 @@
     Duration connectTimeout = std::chrono::milliseconds(1000);
     /** Connections that have been idle for this long are not reused; zero forces a new connection. */
     Duration maxIdle = std::chrono::seconds(60);
+    /** Whether its response counts towards the bound of setMaxHeldBytes(); not for servers that are trusted, such as the store. */
+    bool isHeldBytesCounted = true;
 };
 
 /** Client with a pool of keep-alive HTTP/1.1 connections. Each call reports its end exactly once, unless it is cancelled. */
@@ -73,6 +78,8 @@
         std::function<void(const HttpHead &head, HttpBodyFraming framing, std::int64_t length)> onHead;
         std::function<void(std::string_view data)> onData;
         std::function<void(HttpCallResult result, HttpBreakCause cause)> onEnd;
+        /** Asks to pass on or discard what was recorded with recordHeld(). If nothing is freed, the call is broken off. */
+        std::function<void()> onMemoryNeeded;
     };
 
     using BodyHandler = std::function<void(HttpCallResult result, const HttpHead &head, const std::string &body)>;
@@ -95,6 +102,9 @@
         bool isReused = false;
         /** Bytes received since the request was sent that are not part of its final response. */
         std::size_t skippedBytes = 0;
+        /** Bytes of the parsed head, and those that the handlers hold. */
+        std::size_t headBytes = 0;
+        std::size_t handlerBytes = 0;
         TimePoint idleSince{};
         Duration keepAliveTimeout{};
         TimerService::TimerId connectTimer = 0;
@@ -108,12 +118,17 @@
     std::map<CallId, ConnectionId> m_calls;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_openedCount = 0;
+    ResponseBudget m_responses;
 
     ConnectionId takeIdleConnection(const HttpCall &call);
     ConnectionId openConnection(const HttpCall &call);
     void sendRequest(ConnectionId id);
     void startReader(ConnectionId id);
     void receive(ConnectionId id, std::string_view data);
+    void readResponses(ConnectionId id, std::string_view data);
+    void countHeld(const Connection &connection);
+    /** Breaks off responses until the bound is kept. Not called while a handler runs. */
+    void enforceBound();
     void completeCall(ConnectionId id);
     /** @param cause what ended the call, if @p result is Broken */
     void closeConnection(ConnectionId id, HttpCallResult result, HttpBreakCause cause = HttpBreakCause::None);
@@ -142,6 +157,16 @@
     void pause(CallId id);
     void resume(CallId id);
 
+    /** Records that the handlers of a call hold @p bytes of its response. */
+    void recordHeld(CallId id, std::size_t bytes);
+
+    /** Bounds the bytes that are held of all responses together. Without it, there is no bound. */
+    void setMaxHeldBytes(std::size_t bytes);
+    /** What is held of all responses, in bytes. */
+    std::size_t heldBytes() const;
+    /** See ResponseBudget::isUnderPressure(). */
+    bool isUnderPressure() const;
+
     /** Closes the idle connections of @p poolKey. */
     void closeIdle(const std::string &poolKey);
 
--- a/drivers/tcpsocket.cpp
+++ b/drivers/tcpsocket.cpp
@@ -1,5 +1,7 @@
 #include "drivers/tcpsocket.h"
 
+#include "core/longbuffer.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -140,7 +142,7 @@
         m_sentBytes += static_cast<std::size_t>(count);
     }
     if (m_sentBytes == m_output.size()) {
-        m_output = std::string();
+        releaseLong(m_output);
         m_sentBytes = 0;
     }
 }
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -32,6 +32,9 @@
 // An attempt that is given up without an answer before this time is no sign of trouble at its endpoint.
 constexpr Duration minUnansweredTime = std::chrono::seconds(1);
 
+// Responses up to this size are held until they are complete also when much is held, so that another attempt can replace them.
+constexpr std::size_t maxHeldUnderPressure = 32 * 1024;
+
 constexpr Duration misdirectedAnswerTime = std::chrono::milliseconds(300);
 
 // How long a reservation of an endpoint's limit may be used.
@@ -490,6 +493,9 @@
     handlers.onEnd = [this](HttpCallResult result, HttpBreakCause cause) {
         handleEnd(result, cause);
     };
+    handlers.onMemoryNeeded = [this]() {
+        handleMemoryNeeded();
+    };
     m_endpointCall = m_services.pool.send(std::move(call), std::move(handlers));
     const std::optional<WeightsCutoff> cutoff = m_endpointSearch->weightsCutoff(choice);
     if (cutoff.has_value()) {
@@ -744,6 +750,7 @@
     }
     if (m_streamHold.isHolding()) {
         m_streamHold.holdData(data);
+        recordHeld();
         m_services.pool.pause(m_endpointCall);
         return;
     }
@@ -756,6 +763,7 @@
     if (m_relay.handleData(*m_route, data)) {
         recordPromptDone();
     }
+    recordHeld();
     if (m_isResumable && m_relay.isForwarding()) {
         m_endpointSearch->requireVersion(m_sentVersion);
     }
@@ -764,11 +772,40 @@
         m_services.pool.breakOff(m_endpointCall);
         return;
     }
+    if (m_services.pool.isUnderPressure() && m_relay.heldBytes() > maxHeldUnderPressure) {
+        handleMemoryNeeded();
+    }
     if (m_relay.isForwarding() && m_relay.isCallerBacklogged()) {
         m_services.pool.pause(m_endpointCall);
     }
 }
 
+void ProxyCall::recordHeld()
+{
+    m_services.pool.recordHeld(m_endpointCall, m_streamHold.heldBytes() + m_relay.heldBytes());
+}
+
+void ProxyCall::handleMemoryNeeded()
+{
+    if (m_streamHold.isHolding()) {
+        return;
+    }
+    const std::size_t heldBytes = m_relay.heldBytes();
+    m_relay.forwardEarly(*m_route);
+    recordHeld();
+    if (m_relay.heldBytes() < heldBytes) {
+        // Otherwise as much would gather as output if the caller reads slowly.
+        if (m_services.listener.bufferedBytes(m_exchange) > 0) {
+            m_services.pool.pause(m_endpointCall);
+        }
+        m_services.log.write("request", "response forwarded early",
+                             {{"request", m_request.id},
+                              {"endpoint", m_endpoint},
+                              {"forwardedBytes", std::to_string(heldBytes - m_relay.heldBytes())},
+                              {"allHeldBytes", std::to_string(m_services.pool.heldBytes())}});
+    }
+}
+
 void ProxyCall::handleCallerDrained()
 {
     m_services.pool.resume(m_endpointCall);
@@ -784,6 +821,19 @@
     const std::string endpoint = m_endpoint;
     recordAttemptEnd(result);
     releaseEndpoint();
+    if (cause == HttpBreakCause::MemoryBound) {
+        // It was ended here, so it shows nothing about what ends the endpoint.
+        placement().recordFailure(endpoint, Loop::now());
+        m_services.metrics.increment("responses broken off for memory");
+        m_services.log.write("request", "response broken off for memory",
+                             {{"request", m_request.id},
+                              {"endpoint", endpoint},
+                              {"status", std::to_string(m_relay.response().status)},
+                              {"heldBytes", std::to_string(m_relay.heldBytes())},
+                              {"otherHeldBytes", std::to_string(m_services.pool.heldBytes())}});
+        handleBroken();
+        return;
+    }
     if (result == HttpCallResult::NotSent) {
         placement().recordFailure(endpoint, Loop::now());
         placement().avoid(endpoint, Loop::now(), avoidAfterNoConnection);
@@ -864,6 +914,7 @@
 {
     const bool mayRetry = !m_isTrial && m_attemptTracker->canRetry() && m_services.retryBudget.tryConsumeRetry();
     if (mayRetry) {
+        m_relay.discardHeld();
         send();
         return;
     }
@@ -876,6 +927,7 @@
     const bool isRetried = isFailure && !m_relay.isForwarding() && m_route->retryPolicy == RetryPolicy::Idempotent
         && m_attemptTracker->canRetry() && m_services.retryBudget.tryConsumeRetry();
     if (isRetried) {
+        m_relay.discardHeld();
         send();
         return;
     }
@@ -1041,6 +1093,8 @@
     m_isEnded = true;
     returnVersionGrant();
     logOutcome(outcome);
+    // The call itself may be destroyed later.
+    m_relay.discardHeld();
     m_services.metrics.increment(std::string("requests ") + outcome);
     m_services.metrics.addSample("request", Loop::now() - m_incoming.arrived);
     m_services.loop.timers().unsubscribe(m_timeoutTimer);
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -146,6 +146,8 @@
     void giveUpAttempt();
     void handleData(std::string_view data);
     void handleEnd(HttpCallResult result, HttpBreakCause cause);
+    void handleMemoryNeeded();
+    void recordHeld();
     void logConnectionLost(const std::string &endpoint, const char *evidence);
     void handleNotRun();
     void handleBroken();
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -317,6 +317,7 @@
     limits.maxConnections = bounds.maxConnections;
     m_listener.setLimits(limits);
     m_listener.setMaxHeldBytes(bounds.maxHeldBytes);
+    m_pool.setMaxHeldBytes(bounds.maxResponseBytes);
 }
 
 void ProxyRole::handleRefusal(HttpListener::RefusalReason reason, std::size_t heldBytes)
--- a/main/proxy/responserelay.cpp
+++ b/main/proxy/responserelay.cpp
@@ -1,11 +1,13 @@
 #include "main/proxy/responserelay.h"
 
+#include "core/longbuffer.h"
 #include "core/metrics.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace citronspar
 {
@@ -52,16 +54,22 @@
 
 void ResponseRelay::beginAttempt()
 {
-    m_head = HttpHead();
     m_response = platform::EndpointResponse();
     m_delivery = Delivery::Buffered;
     m_hasEvents = false;
     m_isContinued = true;
-    m_buffer.clear();
-    m_framer = SseFramer();
+    discardHeld();
     m_continuity.beginAttempt();
 }
 
+void ResponseRelay::discardHeld()
+{
+    m_head = HttpHead();
+    releaseLong(m_buffer);
+    // The old framer is destroyed with its memory, which an assignment would keep.
+    std::exchange(m_framer, SseFramer());
+}
+
 void ResponseRelay::handleHead(const TrafficRoute &route, const HttpHead &head, HttpBodyFraming framing, std::int64_t contentLength)
 {
     m_head = head;
@@ -90,15 +98,33 @@
     if (m_hasEvents) {
         m_framer.add(data);
     }
-    m_buffer.append(data);
+    appendLong(m_buffer, data);
     if (m_buffer.size() <= maxBufferedBytes || !m_response.isSigned) {
         return;
     }
+    forwardBuffer(route);
+}
+
+void ResponseRelay::forwardBuffer(const TrafficRoute &route)
+{
     if (!m_isForwarding) {
         startForwarding(route);
     }
     m_services.listener.write(m_exchange, m_buffer);
-    m_buffer.clear();
+    releaseLong(m_buffer);
+}
+
+void ResponseRelay::forwardEarly(const TrafficRoute &route)
+{
+    const bool isFinal = m_response.isSigned && !m_response.isNotRun && m_response.status < firstRedirectStatus;
+    if (isFinal && m_delivery == Delivery::Buffered && !m_buffer.empty()) {
+        forwardBuffer(route);
+    }
+}
+
+std::size_t ResponseRelay::heldBytes() const
+{
+    return m_buffer.size() + m_framer.heldBytes();
 }
 
 void ResponseRelay::forwardEvents(const TrafficRoute &route, std::string_view data)
--- a/main/proxy/responserelay.h
+++ b/main/proxy/responserelay.h
@@ -57,6 +57,7 @@
     void startForwarding(const TrafficRoute &route);
     void forwardEvents(const TrafficRoute &route, std::string_view data);
     void bufferData(const TrafficRoute &route, std::string_view data);
+    void forwardBuffer(const TrafficRoute &route);
     bool isWholeJson() const;
 
 public:
@@ -66,6 +67,15 @@
     /** Discards what the previous attempt has left incomplete. */
     void beginAttempt();
 
+    /** Discards the head and the body of an attempt that has ended, as the next one may wait for long. */
+    void discardHeld();
+
+    /** Forwards what is buffered of a sound response, which another attempt can then no longer replace. */
+    void forwardEarly(const TrafficRoute &route);
+
+    /** What is held of the response, in bytes. */
+    std::size_t heldBytes() const;
+
     /** @param contentLength length of the body in bytes; negative if unknown */
     void handleHead(const TrafficRoute &route, const HttpHead &head, HttpBodyFraming framing, std::int64_t contentLength);
 
--- a/main/proxy/streamhold.cpp
+++ b/main/proxy/streamhold.cpp
@@ -60,6 +60,11 @@
     return std::exchange(m_data, {});
 }
 
+std::size_t StreamHold::heldBytes() const
+{
+    return m_data.size();
+}
+
 std::optional<StreamHold::End> StreamHold::takeEnd()
 {
     return std::exchange(m_end, std::nullopt);
--- a/main/proxy/streamhold.h
+++ b/main/proxy/streamhold.h
@@ -49,6 +49,7 @@
     void holdData(std::string_view data);
     void holdEnd(HttpCallResult result, HttpBreakCause cause);
     std::string takeData();
+    std::size_t heldBytes() const;
     std::optional<End> takeEnd();
 };
 
--- a/servers/intake/intakebounds.cpp
+++ b/servers/intake/intakebounds.cpp
@@ -19,6 +19,12 @@
 // A single request inside the limits is always served, also while a second one is being received.
 constexpr std::uint64_t minRequests = 2;
 
+// Buffers of responses grow by doubling, so that they take up to twice the bytes that are counted.
+constexpr std::size_t responseGrowth = 2;
+
+// Two of the largest single responses: an event of 1 MiB each.
+constexpr std::size_t minResponseBytes = 2U * 1024 * 1024;
+
 // Descriptors for the store, peers, logs and the ready and metrics ports; a daemon without load has 20.
 constexpr std::size_t reservedDescriptors = 36;
 
@@ -36,6 +42,7 @@
     const std::size_t descriptors = std::max(maxDescriptors > 0 ? maxDescriptors : defaultMaxDescriptors, reservedDescriptors + eighths);
     IntakeBounds bounds;
     bounds.maxHeldBytes = std::max(configuredBytes, static_cast<std::size_t>(minRequests * maxRequestBytes));
+    bounds.maxResponseBytes = std::max(configuredBytes / responseGrowth, minResponseBytes);
     bounds.maxConnections = (descriptors - reservedDescriptors) / eighths * clientEighths;
     return bounds;
 }
--- a/servers/intake/intakebounds.h
+++ b/servers/intake/intakebounds.h
@@ -14,6 +14,8 @@
 
     /** Bytes of requests and responses that may wait. */
     std::size_t maxHeldBytes = 0;
+    /** Bytes of responses of endpoints that may be held until they can be passed on. */
+    std::size_t maxResponseBytes = 0;
     /** Connections of clients that may be open. */
     std::size_t maxConnections = 0;
 
--- a/servers/sseframer.cpp
+++ b/servers/sseframer.cpp
@@ -1,5 +1,7 @@
 #include "servers/sseframer.h"
 
+#include "core/longbuffer.h"
+
 #include <utility>
 
 namespace citronspar
@@ -36,8 +38,11 @@
 {
     SseEvent event = std::move(m_event);
     m_event = SseEvent();
-    event.text = m_partial.substr(0, end);
-    m_partial.erase(0, end);
+    // The rest gets memory of its own, so that a long stream does not keep that of its largest event.
+    std::string rest = m_partial.substr(end);
+    event.text = std::move(m_partial);
+    event.text.resize(end);
+    m_partial = std::move(rest);
     m_scanned = 0;
     m_lineStart = 0;
     m_hasField = false;
@@ -48,7 +53,7 @@
 std::vector<SseEvent> SseFramer::add(std::string_view bytes)
 {
     std::vector<SseEvent> events;
-    m_partial.append(bytes);
+    appendLong(m_partial, bytes);
     while (m_scanned < m_partial.size()) {
         if (m_isAfterCr) {
             m_isAfterCr = false;
@@ -84,6 +89,11 @@
     return m_partial;
 }
 
+std::size_t SseFramer::heldBytes() const
+{
+    return m_partial.size() + (m_event.id.has_value() ? m_event.id->size() : 0);
+}
+
 bool SseFramer::isInsideEvent() const
 {
     return m_hasField || m_lineStart < m_partial.size();
--- a/servers/sseframer.h
+++ b/servers/sseframer.h
@@ -49,6 +49,9 @@
     /** The bytes after the last complete event. */
     const std::string &partial() const;
 
+    /** Bytes of the event that is not complete. */
+    std::size_t heldBytes() const;
+
     /** Whether there is a part of an event after the last complete one. Readers discard it if the stream ends there. */
     bool isInsideEvent() const;
 
--- a/tests/drivers/httppool_test.cpp
+++ b/tests/drivers/httppool_test.cpp
@@ -233,6 +233,55 @@
     CHECK(writer.written < 32U * 1024 * 1024);
 }
 
+TEST_CASE("[HttpPool] Beyond the bound on all responses, the one that holds most is broken off, and the others go on")
+{
+    constexpr std::size_t soundBytes = 50000;
+    constexpr std::size_t firstBytes = 40000;
+    constexpr std::size_t faultyBytes = 100000;
+    Loop loop;
+    RawServer server(loop);
+    HttpPool pool(loop);
+    pool.setMaxHeldBytes(soundBytes + faultyBytes / 2);
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: ";
+    server.onRequest = [&](TcpSocket &socket) {
+        const bool isSound = &socket == server.sockets.front().get();
+        socket.write(head + std::to_string(isSound ? soundBytes : 2 * faultyBytes) + "\r\n\r\n");
+        socket.write(std::string(isSound ? firstBytes : faultyBytes, 'x'));
+    };
+    FetchedResponse sound;
+    FetchedResponse faulty;
+    const auto start = [&](FetchedResponse &response, bool isCounted) {
+        HttpCall call = callWithId("1");
+        call.isHeldBytesCounted = isCounted;
+        pool.fetch(std::move(call), std::chrono::seconds(10), [&](HttpCallResult result, const HttpHead &, const std::string &body) {
+            ++response.reports;
+            response.result = result;
+            response.body = body;
+        });
+    };
+    start(sound, true);
+    REQUIRE(fakes::runUntil(loop, [&]() {
+        return pool.heldBytes() > firstBytes;
+    }));
+    // The response of a trusted server holds more, and stays.
+    FetchedResponse trusted;
+    start(trusted, false);
+    start(faulty, true);
+    REQUIRE(fakes::runUntil(loop, [&]() {
+        return faulty.reports == 1;
+    }));
+    CHECK(faulty.result == HttpCallResult::Broken);
+    CHECK(sound.reports == 0);
+    CHECK(trusted.reports == 0);
+    server.sockets.front()->write(std::string(soundBytes - firstBytes, 'x'));
+    REQUIRE(fakes::runUntil(loop, [&]() {
+        return sound.reports == 1;
+    }));
+    CHECK(sound.result == HttpCallResult::Complete);
+    CHECK(sound.body.size() == soundBytes);
+    CHECK(pool.heldBytes() == 0);
+}
+
 TEST_CASE("[HttpListener] Responses are framed, and an aborted response is not reported as complete")
 {
     Loop loop;
--- a/tests/process/crowdfleet.cpp
+++ b/tests/process/crowdfleet.cpp
@@ -18,46 +18,41 @@
 // Bodies stay open longer than any case runs on a slow machine, so that no case passes because a timeout was shorter than the load.
 constexpr int headerTimeoutMs = 300000;
 
-constexpr int intakeMemoryMb = 12;
-constexpr int memoryMb = 88;
+json makeRoute(const char *name, const char *prefix, const char *kind, const char *service)
+{
+    return {{"name", name},  {"host", "h"},        {"prefix", prefix}, {"routeKind", kind}, {"timeoutMs", 20000}, {"targetLatencyMs", 500},
+            {"priority", 1}, {"service", service}, {"maxAttempts", 2}, {"public", false},   {"resumable", false}};
+}
 
 json makeConfig()
 {
     return {
         {"version", 7},
         {"routes",
-         {{{"name", "plain"},
-           {"host", "h"},
-           {"prefix", "/plain/"},
-           {"routeKind", "idempotent"},
-           {"timeoutMs", 20000},
-           {"targetLatencyMs", 500},
-           {"priority", 1},
-           {"service", "app"},
-           {"maxAttempts", 2},
-           {"public", false},
-           {"resumable", false}}}},
-        {"services", {{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 100}}}},
+         {makeRoute("plain", "/plain/", "idempotent", "app"), makeRoute("faulty", "/faulty/", "idempotent", "faulty"),
+          makeRoute("faulty-stream", "/faulty-stream/", "stream", "faulty")}},
+        {"services",
+         {{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 100}},
+          {{"name", "faulty"}, {"healthPath", "/health"}, {"maxConns", 1000}}}},
         {"limits", {{"maxBodyBytes", CrowdFleet::maxBodyBytes}, {"headerTimeoutMs", headerTimeoutMs}, {"idleTimeoutMs", headerTimeoutMs}}},
         {"tenants", {{{"name", "mine"}, {"apiKeys", {"good-key"}}, {"unit", "tokens"}, {"plainTokens", 1}}}}};
 }
 
-json makeEntry()
+json makeEntry(const char *service, const char *address, int slots)
 {
-    return {{"service", "app"}, {"addr", CrowdFleet::serviceAddress},
-            {"zone", "a"},      {"version", "v1"},
-            {"slots", 64},      {"state", "ready"},
-            {"coldLeftMs", 0},  {"sequence", 1},
-            {"born", 1000}};
+    return {{"service", service}, {"addr", address}, {"zone", "a"},   {"version", "v1"}, {"slots", slots},
+            {"state", "ready"},   {"coldLeftMs", 0}, {"sequence", 1}, {"born", 1000}};
 }
 
-json makeSettings(bool isEntry)
+json makeSettings(bool isEntry, const CrowdFleet::VmSettings &vm)
 {
     json platform = {{"peerPort", 18968},
                      {"metricsListen", isEntry ? CrowdFleet::entryMetricsAddress : CrowdFleet::endpointMetricsAddress},
-                     {"memoryMb", memoryMb},
-                     {"intakeMemoryMb", intakeMemoryMb},
-                     {"maxDescriptors", CrowdFleet::maxDescriptors}};
+                     {"memoryMb", CrowdFleet::memoryMb},
+                     {"maxDescriptors", vm.maxDescriptors}};
+    if (vm.intakeMemoryMb > 0) {
+        platform["intakeMemoryMb"] = vm.intakeMemoryMb;
+    }
     json settings = {{"role", isEntry ? "entry" : "endpoint"},
                      {"daemon", isEntry ? "entry-1" : "endpoint-1"},
                      {"zone", "a"},
@@ -77,26 +72,27 @@
     return settings;
 }
 
-std::string writeSettings(const std::string &folder, bool isEntry)
+std::string writeSettings(const std::string &folder, bool isEntry, const CrowdFleet::VmSettings &vm)
 {
     std::string path = folder + (isEntry ? "/entry.json" : "/endpoint.json");
-    std::ofstream(path) << makeSettings(isEntry).dump(2);
+    std::ofstream(path) << makeSettings(isEntry, vm).dump(2);
     return path;
 }
 
 }
 
-CrowdFleet::CrowdFleet(Loop &loop, const std::string &program, const std::string &folder)
+CrowdFleet::CrowdFleet(Loop &loop, const std::string &program, const std::string &folder, const VmSettings &vm)
     : m_loop(loop)
     , m_store(loop, parseSocketAddress(storeAddress))
     , m_service(loop, parseSocketAddress(serviceAddress), "i-1")
     , m_engine(loop, parseSocketAddress(engineAddress), "i-2")
     , m_callers(loop)
-    , m_entry(program, writeSettings(folder, true), folder + "/entry.log")
-    , m_endpoint(program, writeSettings(folder, false), folder + "/endpoint.log")
+    , m_entry(program, writeSettings(folder, true, vm), folder + "/entry.log")
+    , m_endpoint(program, writeSettings(folder, false, vm), folder + "/endpoint.log")
 {
     m_store.put("op", "config", makeConfig().dump());
-    m_store.put("servers", "i-1", makeEntry().dump());
+    m_store.put("servers", "i-1", makeEntry("app", serviceAddress, 64).dump());
+    m_store.put("servers", "i-3", makeEntry("faulty", faultyAddress, 1000).dump());
 }
 
 bool CrowdFleet::start()
--- a/tests/process/crowdfleet.h
+++ b/tests/process/crowdfleet.h
@@ -23,9 +23,20 @@
     static constexpr const char *engineAddress = "127.0.0.1:18967";
     static constexpr const char *endpointPeerAddress = "127.0.0.1:18968";
     static constexpr const char *endpointMetricsAddress = "127.0.0.1:18969";
+    /** The endpoint of the service that the routes "/faulty/" and "/faulty-stream/" lead to. Tests open it themselves. */
+    static constexpr const char *faultyAddress = "127.0.0.1:18970";
 
     static constexpr std::size_t maxBodyBytes = 2U * 1024 * 1024;
     static constexpr std::size_t maxDescriptors = 128;
+    static constexpr int memoryMb = 88;
+
+    /** What the daemons are told about their VM besides its memory. */
+    struct VmSettings
+    {
+        /** 0 leaves the setting out. */
+        int intakeMemoryMb = 12;
+        std::size_t maxDescriptors = CrowdFleet::maxDescriptors;
+    };
 
 private:
     Loop &m_loop;
@@ -38,7 +49,7 @@
 
 public:
     /** @param folder receives the settings and logs of the daemons */
-    CrowdFleet(Loop &loop, const std::string &program, const std::string &folder);
+    CrowdFleet(Loop &loop, const std::string &program, const std::string &folder, const VmSettings &vm);
 
     /** Starts the daemons. Returns false if no request is answered. */
     bool start();
--- a/tests/process/crowds.cpp
+++ b/tests/process/crowds.cpp
@@ -1,10 +1,11 @@
-// Sends crowds of hostile connections to the daemons' ports and checks what doesn't depend on the machine's speed: the
-// processes live, resident memory and open descriptors stay under a bound, and an ordinary request is answered afterwards
-// while the crowd is still connected.
+// Sends crowds of hostile connections to the daemons' ports, or requests to an endpoint whose responses never end, and checks
+// what doesn't depend on the machine's speed: the processes live, resident memory and open descriptors stay under a bound,
+// and an ordinary request is answered afterwards while the crowd is still connected.
 
 #include "core/scopeguard.h"
 #include "tests/process/crowdclient.h"
 #include "tests/process/crowdfleet.h"
+#include "tests/process/endlessendpoint.h"
 
 #include <popt.h>
 
@@ -22,6 +23,8 @@
 using namespace citronspar;
 using crowds::CrowdClient;
 using crowds::CrowdFleet;
+using crowds::EndlessBytes;
+using crowds::EndlessEndpoint;
 using crowds::ProcessUsage;
 
 constexpr std::size_t mebibyte = 1024 * 1024;
@@ -145,7 +148,7 @@
 bool runCase(const Case &which, const std::string &program, const std::string &folder)
 {
     Loop loop;
-    CrowdFleet fleet(loop, program, folder);
+    CrowdFleet fleet(loop, program, folder, CrowdFleet::VmSettings());
     if (!fleet.start()) {
         std::printf("FAILED  %s: the daemons did not start\n", which.name);
         return false;
@@ -188,6 +191,101 @@
     return hasPassed;
 }
 
+struct EndlessCase
+{
+    const char *name;
+    const char *path;
+    EndlessBytes bytes;
+};
+
+std::vector<EndlessCase> makeEndlessCases()
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string head = status + "Citronspar-Request-Id: crowd\r\n";
+    const std::string signedHead = head + "Citronspar-Server-Seal: seal-i-3\r\n";
+    const std::string events = signedHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string noise(4096, 'x');
+    const std::string chunk = makeChunk(noise.size());
+    constexpr const char *plain = "/faulty/x";
+    constexpr const char *stream = "/faulty-stream/x";
+    // The largest parts that each single response is allowed are left open just short of their limits.
+    constexpr std::size_t openHeadBytes = 60 * 1024;
+    constexpr std::size_t openBodyBytes = 250 * 1024;
+    constexpr std::size_t openEventBytes = 1000 * 1024;
+    constexpr std::size_t endlessBytes = 4 * mebibyte;
+    std::string shortLines;
+    while (shortLines.size() < openHeadBytes) {
+        shortLines += "X: y\r\n";
+    }
+    return {
+        {"header lines without end", plain, {head, "X: y\r\n", endlessBytes}},
+        {"header lines, open", plain, {head, "X: y\r\n", openHeadBytes}},
+        {"one header line without end", plain, {head + "X: ", noise, endlessBytes}},
+        {"a head of many lines, then a body that does not come", plain, {head + shortLines + "Content-Length: 9\r\n\r\n", "", 1}},
+        {"interim responses without end", plain, {"", "HTTP/1.1 102 Processing\r\n\r\n", endlessBytes}},
+        {"unsigned body of a length, open", plain, {head + "Content-Length: 9999999999\r\n\r\n", noise, openBodyBytes}},
+        {"unsigned body in chunks, open", plain, {head + "Transfer-Encoding: chunked\r\n\r\n", chunk, openBodyBytes}},
+        {"unsigned body until the end of the connection, open", plain, {head + "\r\n", noise, openBodyBytes}},
+        {"unsigned body until the end of the connection, without end", plain, {head + "\r\n", noise, endlessBytes}},
+        {"signed body of a length, open", plain, {signedHead + "Content-Length: 9999999999\r\n\r\n", noise, openBodyBytes}},
+        {"one event, open", stream, {events, chunk, openEventBytes}},
+        {"one event without end", stream, {events, chunk, endlessBytes}},
+        {"bytes without end after a complete response", plain, {signedHead + "Content-Length: 2\r\n\r\nok", noise, endlessBytes}},
+    };
+}
+
+std::string makeFaultyRequest(const std::string &path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer good-key\r\nCitronspar-Request-Id: crowd\r\n\r\n";
+}
+
+bool runEndlessCase(const EndlessCase &which, const std::string &program, const std::string &folder)
+{
+    // The daemon keeps to half of its VM's memory, as it does for its clients' requests.
+    constexpr std::size_t maxEndlessResidentBytes = CrowdFleet::memoryMb * mebibyte / 2;
+    constexpr std::size_t requests = 200;
+    constexpr std::size_t turnsBetweenRequests = 50;
+    constexpr Duration endlessQuietTime = std::chrono::milliseconds(800);
+    Loop loop;
+    CrowdFleet fleet(loop, program, folder, CrowdFleet::VmSettings{0, 1024});
+    EndlessEndpoint endpoint(loop, parseSocketAddress(CrowdFleet::faultyAddress), which.bytes);
+    if (!fleet.start()) {
+        std::printf("FAILED  %s: the daemons did not start\n", which.name);
+        return false;
+    }
+    ProcessUsage peak;
+    std::vector<std::unique_ptr<CrowdClient>> clients;
+    for (std::size_t i = 0; i < requests; ++i) {
+        clients.push_back(std::make_unique<CrowdClient>(loop, parseSocketAddress(CrowdFleet::frontAddress),
+                                                        repeated(makeFaultyRequest(which.path), std::string(), 0)));
+    }
+    const TimePoint endsAt = Loop::now() + maxCrowdTime;
+    TimePoint lastSentAt = Loop::now();
+    bool isServing = true;
+    std::size_t turns = 0;
+    while (Loop::now() < endsAt && Loop::now() - lastSentAt < endlessQuietTime) {
+        bool hasSent = endpoint.sendMore();
+        for (const std::unique_ptr<CrowdClient> &client : clients) {
+            hasSent = client->sendMore() || hasSent;
+        }
+        lastSentAt = hasSent ? Loop::now() : lastSentAt;
+        recordPeak(peak, fleet.entryUsage());
+        if (++turns % turnsBetweenRequests == 0) {
+            isServing = fleet.isServing(1) && isServing;
+        }
+        fleet.runFor(turnInterval);
+    }
+    isServing = fleet.isServing(1) && isServing;
+    recordPeak(peak, fleet.entryUsage());
+    const bool isAlive = fleet.isAlive();
+    const bool hasPassed = isAlive && isServing && endpoint.responseCount() >= requests && peak.residentBytes <= maxEndlessResidentBytes;
+    std::printf("%s  endless: %s: alive %d, serving %d, entry %.1f MiB, %zu responses, %zu closed\n", hasPassed ? "passed" : "FAILED",
+                which.name, isAlive ? 1 : 0, isServing ? 1 : 0, static_cast<double>(peak.residentBytes) / mebibyte,
+                endpoint.responseCount(), endpoint.closedCount());
+    std::fflush(stdout);
+    return hasPassed;
+}
+
 /** Guards against bounds that refuse a few callers inside the limits when there is no overload. */
 bool runCalm(const std::string &program, const std::string &folder)
 {
@@ -195,7 +293,7 @@
     constexpr int requests = 6;
     constexpr std::size_t callers = 4;
     Loop loop;
-    CrowdFleet fleet(loop, program, folder);
+    CrowdFleet fleet(loop, program, folder, CrowdFleet::VmSettings());
     bool hasPassed = fleet.start();
     for (int i = 0; hasPassed && i < requests; ++i) {
         hasPassed = fleet.sendRequest(CrowdFleet::maxBodyBytes) == statusOk;
@@ -251,6 +349,11 @@
             hasPassed = runCase(which, program, folder) && hasPassed;
         }
     }
+    for (const EndlessCase &which : makeEndlessCases()) {
+        if (("endless: " + std::string(which.name)).find(filter) != std::string::npos) {
+            hasPassed = runEndlessCase(which, program, folder) && hasPassed;
+        }
+    }
     if (std::string("calm").find(filter) != std::string::npos) {
         hasPassed = runCalm(program, folder) && hasPassed;
     }
--- a/tests/servers/intake/intakebounds_test.cpp
+++ b/tests/servers/intake/intakebounds_test.cpp
@@ -31,3 +31,11 @@
     CHECK(IntakeBounds::derive(0, 0, 10250, mebibyte).maxConnections == 6380);
     CHECK(IntakeBounds::derive(0, 0, 1, mebibyte).maxConnections > 0);
 }
+
+TEST_CASE("[IntakeBounds] Responses get half of what requests get, and two of the largest events at least")
+{
+    CHECK(IntakeBounds::derive(88, 0, 0, mebibyte).maxResponseBytes == 11 * mebibyte);
+    CHECK(IntakeBounds::derive(88, 12, 0, mebibyte).maxResponseBytes == 6 * mebibyte);
+    CHECK(IntakeBounds::derive(0, 1, 0, mebibyte).maxResponseBytes == 2 * mebibyte);
+    CHECK(IntakeBounds::derive(0, 0, 0, mebibyte).maxResponseBytes == IntakeBudget::defaultMaxBytes / 2);
+}
