A planned stop waits until finished responses have been sent

Cause: a call ends when its response has been given to the listener. The process exited once no call was open, and closeIdle closed connections of which the last response was still in the buffer of the socket.

closeIdle leaves connections with unsent output open, and a response with unsent output counts as open until the exit margin of the grace.

The new test of the listener fails with the old closeIdle (both cases: closed at once, end of the body missing) and passes now.

--- a/drivers/httplistener.cpp
+++ b/drivers/httplistener.cpp
@@ -571,7 +571,8 @@
 {
     std::vector<ConnectionId> idle;
     for (const std::pair<const ConnectionId, Connection> &entry : m_connections) {
-        if (entry.second.exchange == 0 && !entry.second.isReadingRequest) {
+        const Connection &connection = entry.second;
+        if (connection.exchange == 0 && !connection.isReadingRequest && connection.socket->bufferedBytes() == 0) {
             idle.push_back(entry.first);
         }
     }
@@ -580,6 +581,14 @@
     }
 }
 
+std::size_t HttpListener::unsentResponses() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [](const std::pair<const ConnectionId, Connection> &entry) {
+            return entry.second.exchange == 0 && entry.second.socket->bufferedBytes() > 0;
+        }));
+}
+
 std::size_t HttpListener::openConnections() const
 {
     return m_connections.size();
--- a/drivers/httplistener.h
+++ b/drivers/httplistener.h
@@ -183,9 +183,12 @@
     /** Makes each further response close its connection. New connections are still accepted. */
     void beginStop();
 
-    /** Closes the connections on which no request is in progress. */
+    /** Closes the connections on which no request is in progress and no output waits. */
     void closeIdle();
 
+    /** Responses that are finished, and of which the kernel has not accepted all bytes. */
+    std::size_t unsentResponses() const;
+
     std::size_t openExchanges() const;
     std::size_t openConnections() const;
 };
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -445,7 +445,7 @@
 
 bool ProxyRole::isIdle() const
 {
-    return m_shutdown.mayExit(Loop::now(), m_calls.size());
+    return m_shutdown.mayExit(Loop::now(), m_calls.size() + m_listener.unsentResponses());
 }
 
 }
--- a/servers/shutdownplan.h
+++ b/servers/shutdownplan.h
@@ -50,7 +50,10 @@
     /** Whether connections without an open request are closed, as the load balancer has detected the shutdown. */
     bool closesIdleConnections(TimePoint now) const;
 
-    /** Whether the process may exit: no request is open, or it is about to be killed. */
+    /**
+     * Whether the process may exit: no request is open, or it is about to be killed.
+     * @param openRequests requests without a response, and responses of which a part is unsent
+     */
     bool mayExit(TimePoint now, std::size_t openRequests) const;
 };
 
--- a/tests/drivers/httplistener_test.cpp
+++ b/tests/drivers/httplistener_test.cpp
@@ -139,3 +139,40 @@
     }));
     CHECK(fixture.listener.heldBytes() < 128 * 1024);
 }
+
+TEST_CASE("[HttpListener] In a stop, connections stay open until their responses have been sent")
+{
+    const std::string piece(64 * 1024, 'b');
+    const std::string endOfBody = "0\r\n\r\n";
+    for (const bool isStopBeforeResponse : {false, true}) {
+        ListenerFixture fixture;
+        std::size_t unsent = 0;
+        fixture.listener.onRequest([&](HttpListener::ExchangeId id, const HttpIncomingRequest &) {
+            if (isStopBeforeResponse) {
+                fixture.listener.beginStop();
+            }
+            HttpHead head;
+            head.status = 200;
+            head.reason = "OK";
+            fixture.listener.begin(id, head, HttpBodyFraming::Chunked);
+            while (fixture.listener.bufferedBytes(id) == 0) {
+                fixture.listener.write(id, piece);
+            }
+            fixture.listener.finish(id);
+            fixture.listener.beginStop();
+            // The client can't read before the handler returns.
+            fixture.listener.closeIdle();
+            unsent = fixture.listener.unsentResponses();
+        });
+        RawClient client(fixture.loop);
+        client.socket.write(requestHead(0));
+        CHECK(fixture.waitFor([&]() {
+            fixture.listener.closeIdle();
+            return client.isClosed;
+        }));
+        CHECK(unsent == 1);
+        REQUIRE(client.received.size() > endOfBody.size());
+        CHECK(client.received.substr(client.received.size() - endOfBody.size()) == endOfBody);
+        CHECK(fixture.listener.unsentResponses() == 0);
+    }
+}
