A planned stop answers the requests that are still open before the exit

Requests that were taken before or during a stop and were still at an endpoint at the end of the grace were cut without an answer, among them requests that may not be repeated (LOST).

Cause: the process exited at the exit margin of the grace whatever was open. With a grace below 3.3 s it even took new requests until that exit.

ShutdownPlan::answerTime comes 0.2 s before that exit. Then each open call is given up at its endpoint and answered: 503 if no endpoint may have run it, else 502; a stream that has begun is reset. No request is taken later.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -928,6 +928,14 @@
     finish("caller gone");
 }
 
+void ProxyCall::endBeforeExit()
+{
+    cancelSearch();
+    m_services.pool.cancel(m_endpointCall);
+    releaseEndpoint();
+    fail(ErrorKind::Stopping);
+}
+
 void ProxyCall::abandonOldWeights(const std::string &model, std::int64_t version)
 {
     const bool isOtherModel = !m_request.model.empty() && m_request.model != model;
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -174,6 +174,9 @@
     /** Ends the request and closes the connection to the endpoint, which signals the cancellation. */
     void handleCallerDisconnect();
 
+    /** Answers the request before the process exits, or breaks off a response that has begun. */
+    void endBeforeExit();
+
     /**
      * Gives the current attempt up if it has not begun and its engine has weights older than @p version of @p model,
      * as no request may begin there any more.
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -440,9 +440,20 @@
             m_listener.closeIdle();
         }
     });
+    m_core.timers().subscribeOnce(m_shutdown.answerTime(), [this](TimePoint) {
+        endOpenCalls();
+    });
     m_log.write("daemon", "stopping", {{"requests", std::to_string(m_calls.size())}});
 }
 
+void ProxyRole::endOpenCalls()
+{
+    m_log.write("daemon", "ending open requests", {{"requests", std::to_string(m_calls.size())}});
+    for (ProxyCall *call : currentCalls()) {
+        call->endBeforeExit();
+    }
+}
+
 bool ProxyRole::isIdle() const
 {
     return m_shutdown.mayExit(Loop::now(), m_calls.size() + m_listener.unsentResponses());
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -62,6 +62,8 @@
     void startCall(HttpListener::ExchangeId id, HttpIncomingRequest request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     void removeCall(HttpListener::ExchangeId id);
+    /** Ends the calls that did not complete in the grace. */
+    void endOpenCalls();
     void scheduleWeightsCutoff(const std::string &model, std::int64_t version);
     void abandonOldWeights(const std::string &model, std::int64_t version);
     /** Handles the starts that the list shows for the first time. */
--- a/servers/shutdownplan.cpp
+++ b/servers/shutdownplan.cpp
@@ -1,5 +1,7 @@
 #include "servers/shutdownplan.h"
 
+#include <algorithm>
+
 namespace citronspar
 {
 
@@ -18,9 +20,19 @@
     return m_startedAt != timeNever;
 }
 
+Duration ShutdownPlan::exitTime() const
+{
+    return std::max(m_settings.grace - m_settings.exitMargin, Duration::zero());
+}
+
+Duration ShutdownPlan::answerTime() const
+{
+    return std::max(exitTime() - m_settings.answerMargin, exitTime() / 2);
+}
+
 bool ShutdownPlan::servesNewRequests(TimePoint now) const
 {
-    return !isStarted() || now - m_startedAt < m_settings.balancerDetectionTime;
+    return !isStarted() || now - m_startedAt < std::min(m_settings.balancerDetectionTime, answerTime());
 }
 
 bool ShutdownPlan::closesIdleConnections(TimePoint now) const
@@ -34,8 +46,7 @@
         return false;
     }
     const Duration elapsed = now - m_startedAt;
-    return elapsed >= m_settings.grace - m_settings.exitMargin
-        || (openRequests == 0 && elapsed >= m_settings.balancerDetectionTime + m_settings.idleMargin);
+    return elapsed >= exitTime() || (openRequests == 0 && elapsed >= m_settings.balancerDetectionTime + m_settings.idleMargin);
 }
 
 }
--- a/servers/shutdownplan.h
+++ b/servers/shutdownplan.h
@@ -32,12 +32,17 @@
          * on a slow VM.
          */
         Duration exitMargin = std::chrono::milliseconds(700);
+        /** Time before that exit at which open requests are answered, so that the answers reach their callers. */
+        Duration answerMargin = std::chrono::milliseconds(200);
     };
 
 private:
     Settings m_settings;
     TimePoint m_startedAt = timeNever;
 
+    /** Time from the termination signal until the process exits at the latest. */
+    Duration exitTime() const;
+
 public:
     explicit ShutdownPlan(Settings settings);
 
@@ -47,6 +52,9 @@
     /** Whether a request that arrives at @p now is served. */
     bool servesNewRequests(TimePoint now) const;
 
+    /** Time from the termination signal until requests that are still open are answered, as the process is about to exit. */
+    Duration answerTime() const;
+
     /** Whether connections without an open request are closed, as the load balancer has detected the shutdown. */
     bool closesIdleConnections(TimePoint now) const;
 
