--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -980,6 +980,14 @@
     finish("caller gone");
 }
 
+void ProxyCall::endBeforeExit()
+{
+    cancelSearch();
+    m_services.pool.cancel(m_endpointCall);
+    releaseEndpoint();
+    fail(ErrorKind::Stopping);
+}
+
 void ProxyCall::abandonOldWeights(TimePoint now)
 {
     if (m_endpoint.empty() || !m_isEngineService || m_isPromptDone) {
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -176,6 +176,9 @@
     /** Ends the request and closes the connection to the endpoint, which signals the cancellation. */
     void handleCallerDisconnect();
 
+    /** Answers the request before the process exits, or breaks off a response that has begun. */
+    void endBeforeExit();
+
     /** Gives the current attempt up if it has not begun and its engine has weights on which no request may begin any more. */
     void abandonOldWeights(TimePoint now);
 
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -62,6 +62,8 @@
     void startCall(HttpListener::ExchangeId id, HttpIncomingRequest request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     void removeCall(HttpListener::ExchangeId id);
+    /** Ends the calls that did not complete in the grace. */
+    void endOpenCalls();
     /** Handles the starts that the list shows for the first time. */
     void handleListedStarts();
     /** Asks endpoints for their ids where the list leaves it open which one is at an address. */
