A planned stop takes and sends only requests that can complete in the grace

With a short grace, new requests were taken for 2.6 s after the signal though the process ended sooner, and at any time a request that had failed at one endpoint was sent to another one just before the exit. Their callers got no answer, now a 502 at the end of the grace, where another entry daemon would have served them.

Cause: the time for which requests are served did not depend on the grace, and the attempts of a call were not limited by it.

Requests are served for at most half of the time until the open ones are answered (a grace of 8 s keeps its 2.6 s). No attempt starts within 1 s of that, or after new requests are refused if that is later. A stream that has begun is still continued, as it would be broken off otherwise. A failure that is not retried is passed on as it is.

ShutdownPlan in virtual time for graces from 1 to 30 s; that test uses the new functions and was not run on the code before.

--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -384,9 +384,18 @@
     });
 }
 
+bool ProxyCall::hasTimeBeforeExit() const
+{
+    return m_relay.isForwarding() || m_services.shutdown.mayStartAttempt(Loop::now());
+}
+
 bool ProxyCall::failUnlessSendable(const EndpointPlacement::Choice &choice)
 {
     const Duration waited = Loop::now() - m_incoming.arrived;
+    if (!hasTimeBeforeExit()) {
+        fail(ErrorKind::Stopping);
+        return true;
+    }
     if (!isKeyStillValid()) {
         fail(ErrorKind::NotFresh);
         return true;
@@ -862,7 +871,7 @@
 
 void ProxyCall::retryOrFail(ErrorKind kind)
 {
-    const bool mayRetry = !m_isTrial && m_attemptTracker->canRetry() && m_services.retryBudget.tryConsumeRetry();
+    const bool mayRetry = !m_isTrial && hasTimeBeforeExit() && m_attemptTracker->canRetry() && m_services.retryBudget.tryConsumeRetry();
     if (mayRetry) {
         send();
         return;
@@ -873,7 +882,7 @@
 void ProxyCall::handleComplete()
 {
     const bool isFailure = m_relay.response().status >= firstServerErrorStatus;
-    const bool isRetried = isFailure && !m_relay.isForwarding() && m_route->retryPolicy == RetryPolicy::Idempotent
+    const bool isRetried = isFailure && !m_relay.isForwarding() && m_route->retryPolicy == RetryPolicy::Idempotent && hasTimeBeforeExit()
         && m_attemptTracker->canRetry() && m_services.retryBudget.tryConsumeRetry();
     if (isRetried) {
         send();
--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -113,6 +113,8 @@
     /** The time until the caller or the route gives up. */
     Duration remainingTime() const;
     void sendTo(const EndpointPlacement::Choice &choice);
+    /** Whether the process will run for long enough after this. A response that has begun is continued in any case. */
+    bool hasTimeBeforeExit() const;
     /** Fails the request if it can't be sent any more, and returns whether it was failed. */
     bool failUnlessSendable(const EndpointPlacement::Choice &choice);
     /** Claims a trial or reserves the request at the endpoint, if needed; then the request is sent later. Returns whether it is. */
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -96,6 +96,7 @@
                        })
     , m_rollouts(makeRollouts(links))
     , m_endpointSignals(core.settings().daemon)
+    , m_shutdown(shutdownSettings(settings.stopGrace))
     , m_services{core.loop(),
                  m_listener,
                  m_pool,
@@ -114,12 +115,12 @@
                  m_endpointLimits,
                  m_streamVersions,
                  m_endpointSignals,
+                 m_shutdown,
                  m_log,
                  core.metrics(),
                  settings.weightsDeadline,
                  settings.usesEngineModel,
                  m_rollouts.get()}
-    , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     countStoreEras(m_store, core.metrics());
     applyLimits(TrafficConfig());
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -50,9 +50,9 @@
     std::unique_ptr<RolloutClient> m_rollouts;
     EndpointSignals m_endpointSignals;
     EndpointLimits m_endpointLimits;
+    ShutdownPlan m_shutdown;
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
-    ShutdownPlan m_shutdown;
     /** Requests received before the first configuration and endpoint list. */
     std::map<HttpListener::ExchangeId, HttpIncomingRequest> m_heldRequests;
 
--- a/main/proxy/proxyservices.h
+++ b/main/proxy/proxyservices.h
@@ -16,6 +16,7 @@
 #include "servers/keyfreshness.h"
 #include "servers/quotagate.h"
 #include "servers/retrybudget.h"
+#include "servers/shutdownplan.h"
 #include "servers/transferplanner.h"
 
 namespace citronspar
@@ -47,6 +48,7 @@
     EndpointLimits &endpointLimits;
     StreamVersions &streamVersions;
     EndpointSignals &endpointSignals;
+    const ShutdownPlan &shutdown;
     DecisionLog &log;
     Metrics &metrics;
     /** How long engines with older weights may still be used after new weights were set. */
--- a/servers/shutdownplan.cpp
+++ b/servers/shutdownplan.cpp
@@ -25,6 +25,12 @@
     return std::max(m_settings.grace - m_settings.exitMargin, Duration::zero());
 }
 
+Duration ShutdownPlan::servingTime() const
+{
+    // With a short grace, a request that is taken has at least as much time as has passed.
+    return std::min(m_settings.balancerDetectionTime, answerTime() / 2);
+}
+
 Duration ShutdownPlan::answerTime() const
 {
     return std::max(exitTime() - m_settings.answerMargin, exitTime() / 2);
@@ -32,7 +38,12 @@
 
 bool ShutdownPlan::servesNewRequests(TimePoint now) const
 {
-    return !isStarted() || now - m_startedAt < std::min(m_settings.balancerDetectionTime, answerTime());
+    return !isStarted() || now - m_startedAt < servingTime();
+}
+
+bool ShutdownPlan::mayStartAttempt(TimePoint now) const
+{
+    return !isStarted() || now - m_startedAt < std::max(servingTime(), answerTime() - m_settings.minAttemptTime);
 }
 
 bool ShutdownPlan::closesIdleConnections(TimePoint now) const
--- a/servers/shutdownplan.h
+++ b/servers/shutdownplan.h
@@ -34,6 +34,8 @@
         Duration exitMargin = std::chrono::milliseconds(700);
         /** Time before that exit at which open requests are answered, so that the answers reach their callers. */
         Duration answerMargin = std::chrono::milliseconds(200);
+        /** Requests are sent to endpoints until this long before they would be answered unfinished. */
+        Duration minAttemptTime = std::chrono::milliseconds(1000);
     };
 
 private:
@@ -42,6 +44,8 @@
 
     /** Time from the termination signal until the process exits at the latest. */
     Duration exitTime() const;
+    /** Time from the termination signal until new requests are refused. */
+    Duration servingTime() const;
 
 public:
     explicit ShutdownPlan(Settings settings);
@@ -52,6 +56,9 @@
     /** Whether a request that arrives at @p now is served. */
     bool servesNewRequests(TimePoint now) const;
 
+    /** Whether enough of the grace is left to send a request to an endpoint at @p now. */
+    bool mayStartAttempt(TimePoint now) const;
+
     /** Time from the termination signal until requests that are still open are answered, as the process is about to exit. */
     Duration answerTime() const;
 
--- a/tests/servers/shutdownplan_test.cpp
+++ b/tests/servers/shutdownplan_test.cpp
@@ -34,3 +34,35 @@
     // A request that was accepted before the signal has most of the grace period to complete.
     CHECK_FALSE(plan.mayExit(signalled + settings.grace * 5 / 6, 1));
 }
+
+TEST_CASE("[ShutdownPlan] Whatever the grace, requests are served, sent and answered in time before the exit")
+{
+    constexpr Duration step = std::chrono::milliseconds(10);
+    for (Duration grace = std::chrono::seconds(1); grace <= std::chrono::seconds(30); grace += std::chrono::milliseconds(500)) {
+        ShutdownPlan::Settings settings;
+        settings.grace = grace;
+        ShutdownPlan plan{settings};
+        const TimePoint start{std::chrono::seconds(50)};
+        plan.start(start);
+        Duration served{};
+        Duration sent{};
+        Duration exit{};
+        for (Duration elapsed{}; elapsed <= grace; elapsed += step) {
+            served = plan.servesNewRequests(start + elapsed) ? elapsed : served;
+            sent = plan.mayStartAttempt(start + elapsed) ? elapsed : sent;
+            exit = plan.mayExit(start + elapsed, 1) ? exit : elapsed;
+        }
+        CAPTURE(toSeconds(grace));
+        // A request that was accepted has at least as much time as had passed before it.
+        CHECK(plan.answerTime() >= 2 * served);
+        CHECK(sent >= served);
+        CHECK(sent < plan.answerTime());
+        CHECK(plan.answerTime() < exit);
+        CHECK(exit + std::chrono::milliseconds(400) <= grace);
+        if (grace >= std::chrono::seconds(8)) {
+            CHECK(served >= std::chrono::milliseconds(2200));
+            CHECK(plan.answerTime() >= grace * 5 / 6);
+            CHECK(plan.answerTime() - sent >= std::chrono::milliseconds(900));
+        }
+    }
+}
