--- a/main/proxy/proxycall.h
+++ b/main/proxy/proxycall.h
@@ -113,6 +113,8 @@
     /** The time until the caller or the route gives up. */
     Duration remainingTime() const;
     void sendTo(const EndpointPlacement::Choice &choice);
+    /** Whether the process will run for long enough after this. A response that has begun is continued in any case. */
+    bool hasTimeBeforeExit() const;
     /** Fails the request if it can't be sent any more, and returns whether it was failed. */
     bool failUnlessSendable(const EndpointPlacement::Choice &choice);
     /** Claims a trial or reserves the request at the endpoint, if needed; then the request is sent later. Returns whether it is. */
@@ -146,6 +148,8 @@
     void giveUpAttempt();
     void handleData(std::string_view data);
     void handleEnd(HttpCallResult result, HttpBreakCause cause);
+    void handleMemoryNeeded();
+    void recordHeld();
     void logConnectionLost(const std::string &endpoint, const char *evidence);
     void handleNotRun();
     void handleBroken();
@@ -174,6 +178,9 @@
     /** Ends the request and closes the connection to the endpoint, which signals the cancellation. */
     void handleCallerDisconnect();
 
+    /** Answers the request before the process exits, or breaks off a response that has begun. */
+    void endBeforeExit();
+
     /** Gives the current attempt up if it has not begun and its engine has weights on which no request may begin any more. */
     void abandonOldWeights(TimePoint now);
 
--- a/main/proxy/proxyrole.cpp
+++ b/main/proxy/proxyrole.cpp
@@ -99,6 +99,7 @@
                        })
     , m_rollouts(makeRollouts(links))
     , m_endpointSignals(core.settings().daemon)
+    , m_shutdown(shutdownSettings(settings.stopGrace))
     , m_services{core.loop(),
                  m_listener,
                  m_pool,
@@ -117,12 +118,12 @@
                  m_endpointLimits,
                  m_streamVersions,
                  m_endpointSignals,
+                 m_shutdown,
                  m_log,
                  core.metrics(),
                  settings.weightsDeadline,
                  settings.usesEngineModel,
                  m_rollouts.get()}
-    , m_shutdown(shutdownSettings(settings.stopGrace))
 {
     countStoreEras(m_store, core.metrics());
     applyLimits(TrafficConfig());
@@ -305,6 +306,7 @@
     limits.maxConnections = bounds.maxConnections;
     m_listener.setLimits(limits);
     m_listener.setMaxHeldBytes(bounds.maxHeldBytes);
+    m_pool.setMaxHeldBytes(bounds.maxResponseBytes);
 }
 
 void ProxyRole::handleRefusal(HttpListener::RefusalReason reason, std::size_t heldBytes)
@@ -428,12 +430,23 @@
             m_listener.closeIdle();
         }
     });
+    m_core.timers().subscribeOnce(m_shutdown.answerTime(), [this](TimePoint) {
+        endOpenCalls();
+    });
     m_log.write("daemon", "stopping", {{"requests", std::to_string(m_calls.size())}});
 }
 
+void ProxyRole::endOpenCalls()
+{
+    m_log.write("daemon", "ending open requests", {{"requests", std::to_string(m_calls.size())}});
+    for (ProxyCall *call : currentCalls()) {
+        call->endBeforeExit();
+    }
+}
+
 bool ProxyRole::isIdle() const
 {
-    return m_shutdown.mayExit(Loop::now(), m_calls.size());
+    return m_shutdown.mayExit(Loop::now(), m_calls.size() + m_listener.unsentResponses());
 }
 
 }
--- a/main/proxy/proxyrole.h
+++ b/main/proxy/proxyrole.h
@@ -50,9 +50,9 @@
     std::unique_ptr<RolloutClient> m_rollouts;
     EndpointSignals m_endpointSignals;
     EndpointLimits m_endpointLimits;
+    ShutdownPlan m_shutdown;
     ProxyServices m_services;
     std::map<HttpListener::ExchangeId, std::unique_ptr<ProxyCall>> m_calls;
-    ShutdownPlan m_shutdown;
     /** Requests received before the first configuration and endpoint list. */
     std::map<HttpListener::ExchangeId, HttpIncomingRequest> m_heldRequests;
 
@@ -62,6 +62,8 @@
     void startCall(HttpListener::ExchangeId id, HttpIncomingRequest request);
     void refuseWhileStopping(HttpListener::ExchangeId id, const HttpIncomingRequest &request);
     void removeCall(HttpListener::ExchangeId id);
+    /** Ends the calls that did not complete in the grace. */
+    void endOpenCalls();
     /** Handles the starts that the list shows for the first time. */
     void handleListedStarts();
     /** Asks endpoints for their ids where the list leaves it open which one is at an address. */
