--- a/drivers/httppool.h
+++ b/drivers/httppool.h
@@ -78,7 +78,7 @@
         std::function<void(const HttpHead &head, HttpBodyFraming framing, std::int64_t length)> onHead;
         std::function<void(std::string_view data)> onData;
         std::function<void(HttpCallResult result, HttpBreakCause cause)> onEnd;
-        /** Asks to pass on or discard what was recorded with recordHeld(). If nothing is freed, the call is broken off. */
+        /** Called to free what recordHeld() has counted, by passing it on or discarding it. If nothing is freed, the call is broken off. */
         std::function<void()> onMemoryNeeded;
     };
 
--- a/main/proxy/proxycall.cpp
+++ b/main/proxy/proxycall.cpp
@@ -831,7 +831,7 @@
     recordAttemptEnd(result);
     releaseEndpoint();
     if (cause == HttpBreakCause::MemoryBound) {
-        // It was ended here, so it shows nothing about what ends the endpoint.
+        // The daemon itself broke the response off, so this is no evidence of a crash of the endpoint.
         placement().recordFailure(endpoint, Loop::now());
         m_services.metrics.increment("responses broken off for memory");
         m_services.log.write("request", "response broken off for memory",
--- a/servers/intake/responsebudget.h
+++ b/servers/intake/responsebudget.h
@@ -21,7 +21,7 @@
 private:
     std::size_t m_maxBytes;
     std::size_t m_totalBytes = 0;
-    /** Responses of which nothing is held are left out. */
+    /** Has no entries of zero bytes. */
     std::map<ResponseId, std::size_t> m_heldBytes;
 
 public:
--- a/tests/servers/weights/weightsinarow_test.cpp
+++ b/tests/servers/weights/weightsinarow_test.cpp
@@ -67,7 +67,7 @@
     {
         WeightsHistory history;
         TimePoint startedAt = start;
-        /** Reads nothing before. */
+        /** The store does not respond to the daemon before this time. */
         TimePoint readsAt = start;
         /** The last time at which the store is known to have had no newer version. */
         TimePoint confirmedAt = timeNever;
