--- a/tests/process/crowdfleet.cpp
+++ b/tests/process/crowdfleet.cpp
@@ -33,7 +33,8 @@
           makeRoute("faulty-stream", "/faulty-stream/", "stream", "faulty")}},
         {"services",
          {{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 100}},
-          {{"name", "faulty"}, {"healthPath", "/health"}, {"maxConns", 1000}}}},
+          {{"name", "faulty"}, {"healthPath", "/health"}, {"maxConns", 1000}},
+          {{"name", "kept"}, {"kvStoreAddr", CrowdFleet::kvStoreAddress}, {"zone", "a"}}}},
         {"limits", {{"maxBodyBytes", CrowdFleet::maxBodyBytes}, {"headerTimeoutMs", headerTimeoutMs}, {"idleTimeoutMs", headerTimeoutMs}}},
         {"tenants", {{{"name", "mine"}, {"apiKeys", {"good-key"}}, {"unit", "tokens"}, {"plainTokens", 1}}}}};
 }
@@ -85,11 +86,13 @@
     : m_loop(loop)
     , m_store(loop, parseSocketAddress(storeAddress))
     , m_service(loop, parseSocketAddress(serviceAddress), "i-1")
-    , m_engine(loop, parseSocketAddress(engineAddress), "i-2")
     , m_callers(loop)
     , m_entry(program, writeSettings(folder, true, vm), folder + "/entry.log")
     , m_endpoint(program, writeSettings(folder, false, vm), folder + "/endpoint.log")
 {
+    if (vm.hasEngine) {
+        m_engine.emplace(loop, parseSocketAddress(engineAddress), "i-2");
+    }
     m_store.put("op", "config", makeConfig().dump());
     m_store.put("servers", "i-1", makeEntry("app", serviceAddress, 64).dump());
     m_store.put("servers", "i-3", makeEntry("faulty", faultyAddress, 1000).dump());
--- a/tests/process/crowdfleet.h
+++ b/tests/process/crowdfleet.h
@@ -5,6 +5,7 @@
 #include "tests/process/processusage.h"
 #include "tests/soak/daemonprocess.h"
 
+#include <optional>
 #include <string>
 
 namespace citronspar::crowds
@@ -25,6 +26,8 @@
     static constexpr const char *endpointMetricsAddress = "127.0.0.1:18969";
     /** The endpoint of the service that the routes "/faulty/" and "/faulty-stream/" lead to. Tests open it themselves. */
     static constexpr const char *faultyAddress = "127.0.0.1:18970";
+    /** The KV store of the configuration. Tests open it themselves. */
+    static constexpr const char *kvStoreAddress = "127.0.0.1:18971";
 
     static constexpr std::size_t maxBodyBytes = 2U * 1024 * 1024;
     static constexpr std::size_t maxDescriptors = 128;
@@ -36,13 +39,15 @@
         /** 0 leaves the setting out. */
         int intakeMemoryMb = 12;
         std::size_t maxDescriptors = CrowdFleet::maxDescriptors;
+        /** Else tests open engineAddress themselves. */
+        bool hasEngine = true;
     };
 
 private:
     Loop &m_loop;
     fakes::FakeStore m_store;
     fakes::FakeEndpoint m_service;
-    fakes::FakeEndpoint m_engine;
+    std::optional<fakes::FakeEndpoint> m_engine;
     HttpPool m_callers;
     soak::DaemonProcess m_entry;
     soak::DaemonProcess m_endpoint;
--- a/tests/process/crowds.cpp
+++ b/tests/process/crowds.cpp
@@ -1,4 +1,5 @@
-// Sends crowds of hostile connections to the daemons' ports, or requests to an endpoint whose responses never end, and checks
+// Sends crowds of hostile connections to the daemons' ports, or requests to an endpoint whose responses never end, lets the engine
+// or the KV store answer the daemons' own requests with what is no answer, and checks
 // what doesn't depend on the machine's speed: the processes live, resident memory and open descriptors stay under a bound,
 // and an ordinary request is answered afterwards while the crowd is still connected.
 
@@ -286,6 +287,81 @@
     return hasPassed;
 }
 
+struct FaultyServerCase
+{
+    const char *name;
+    const char *address;
+    EndlessBytes bytes;
+};
+
+/** What is no answer to a daemon's own request, from its engine or from the KV store. */
+std::vector<FaultyServerCase> makeFaultyServerCases()
+{
+    constexpr const char *engine = CrowdFleet::engineAddress;
+    constexpr const char *kvStore = CrowdFleet::kvStoreAddress;
+    // Just under the limits of fetched bodies: 16 MiB, and what an entry daemon holds of all responses.
+    constexpr std::size_t reportBytes = 15 * mebibyte;
+    constexpr std::size_t eventsBytes = 10 * mebibyte;
+    // Inside the limits of what the daemons parse: 256 KiB of a report, 4 MiB and 200,000 values of KV events.
+    constexpr std::size_t parsedReportBytes = 255 * 1024;
+    constexpr std::size_t parsedEventsBytes = 4 * mebibyte - 64 * 1024;
+    constexpr std::size_t endlessBytes = 24 * mebibyte;
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string chunk = makeChunk(4096);
+    const auto lengthOf = [&status](std::size_t bytes) {
+        return status + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n";
+    };
+    return {
+        {"report of empty lists", engine, {lengthOf(reportBytes) + "[", "[],", reportBytes + mebibyte}},
+        {"report of empty objects", engine, {lengthOf(reportBytes) + "[", "{},", reportBytes + mebibyte}},
+        {"report of nested lists", engine, {lengthOf(reportBytes), "[", reportBytes + mebibyte}},
+        {"report of nested lists that is parsed", engine, {lengthOf(parsedReportBytes), "[", parsedReportBytes + mebibyte}},
+        {"report in chunks without end", engine, {status + "Transfer-Encoding: chunked\r\n\r\n", chunk, endlessBytes}},
+        {"report until the end of the connection, without end", engine, {status + "\r\n", std::string(4096, 'x'), endlessBytes}},
+        {"report with header lines without end", engine, {status, "X: y\r\n", endlessBytes}},
+        {"KV events of empty lists", kvStore, {lengthOf(eventsBytes) + "[", "[],", eventsBytes + mebibyte}},
+        {"KV events of nested lists", kvStore, {lengthOf(eventsBytes), "[", eventsBytes + mebibyte}},
+        {"KV events that are parsed",
+         kvStore,
+         {lengthOf(parsedEventsBytes) + "[", "\"" + std::string(18, 'x') + "\",", parsedEventsBytes + mebibyte}},
+        {"KV events in chunks without end", kvStore, {status + "Transfer-Encoding: chunked\r\n\r\n", chunk, endlessBytes}},
+    };
+}
+
+// Guards against a bound on the bytes of a response only, as values take many times their bytes once they are parsed.
+bool runFaultyServerCase(const FaultyServerCase &which, const std::string &program, const std::string &folder)
+{
+    constexpr std::size_t maxResidentServerBytes = CrowdFleet::memoryMb * mebibyte / 2;
+    constexpr std::size_t responses = 3;
+    constexpr std::size_t sendsInATurn = 16;
+    Loop loop;
+    const bool isEngine = std::string(which.address) == CrowdFleet::engineAddress;
+    CrowdFleet fleet(loop, program, folder, CrowdFleet::VmSettings{0, CrowdFleet::maxDescriptors, !isEngine});
+    EndlessEndpoint server(loop, parseSocketAddress(which.address), which.bytes);
+    if (!fleet.start()) {
+        std::printf("FAILED  faulty: %s: the daemons did not start\n", which.name);
+        return false;
+    }
+    ProcessUsage peak;
+    bool isAlive = true;
+    const TimePoint endsAt = Loop::now() + maxCrowdTime;
+    while (Loop::now() < endsAt && isAlive && server.closedCount() < responses) {
+        // The daemons wait half a second for a report, in which the largest one has to arrive.
+        for (std::size_t sends = 0; sends < sendsInATurn && server.sendMore(); ++sends) {
+        }
+        recordPeak(peak, isEngine ? fleet.endpointUsage() : fleet.entryUsage());
+        isAlive = fleet.isAlive();
+        fleet.runFor(turnInterval);
+    }
+    const bool isServing = isAlive && fleet.isServing(1);
+    const bool hasPassed = isServing && server.closedCount() >= responses && peak.residentBytes <= maxResidentServerBytes;
+    std::printf("%s  faulty: %s: alive %d, serving %d, %s daemon %.1f MiB, %zu responses closed\n", hasPassed ? "passed" : "FAILED",
+                which.name, isAlive ? 1 : 0, isServing ? 1 : 0, isEngine ? "endpoint" : "entry",
+                static_cast<double>(peak.residentBytes) / mebibyte, server.closedCount());
+    std::fflush(stdout);
+    return hasPassed;
+}
+
 /** Guards against bounds that refuse a few callers inside the limits when there is no overload. */
 bool runCalm(const std::string &program, const std::string &folder)
 {
@@ -354,6 +430,11 @@
             hasPassed = runEndlessCase(which, program, folder) && hasPassed;
         }
     }
+    for (const FaultyServerCase &which : makeFaultyServerCases()) {
+        if (("faulty: " + std::string(which.name)).find(filter) != std::string::npos) {
+            hasPassed = runFaultyServerCase(which, program, folder) && hasPassed;
+        }
+    }
     if (std::string("calm").find(filter) != std::string::npos) {
         hasPassed = runCalm(program, folder) && hasPassed;
     }
