Roll-outs: the row states which versions of earlier orders were reverted

A daemon that read the row of the next order before it had read the reversion of the last one let streams go on at the reverted version, and used it once nothing else was left.

Cause: the row states the verdict on the newest order's version only.

Change: a row lists the versions of earlier orders that were reverted and were still listed when its order began; VersionAccess rules them out.

Ruled out: concluding it from the versions in use (a version whose order was replaced undecided isn't in use either, and its streams go on).

The holder's part has a test of its own.

--- a/drivers/rolloutrowjson.cpp
+++ b/drivers/rolloutrowjson.cpp
@@ -131,6 +131,7 @@
                  {"era", row.era},
                  {"to", row.to},
                  {"from", row.from},
+                 {"reverted", row.reverted},
                  {"phase", rolloutPhaseName(row.phase)},
                  {"holder", row.holder},
                  {"holderAddress", row.holderAddress},
@@ -159,10 +160,11 @@
     const std::optional<Duration> deadline = timeField(document, "deadlineMs");
     const std::optional<RolloutPhase> phase = phaseField(document, "phase");
     const std::optional<std::vector<std::string>> from = textsField(document, "from");
+    const std::optional<std::vector<std::string>> reverted = textsField(document, "reverted");
     const std::optional<std::vector<EarlierExposure>> earlier = earlierField(document);
     const bool hasNumbers = order.has_value() && era.has_value() && term.has_value() && exposed.has_value() && counted.has_value();
     const bool hasTimes = begun.has_value() && deadline.has_value();
-    const bool hasLists = from.has_value() && earlier.has_value();
+    const bool hasLists = from.has_value() && reverted.has_value() && earlier.has_value();
     if (!hasNumbers || !hasTimes || !hasLists || !phase.has_value()) {
         return std::nullopt;
     }
@@ -171,6 +173,7 @@
     row.era = *era;
     row.to = document.at("to").get<std::string>();
     row.from = *from;
+    row.reverted = *reverted;
     row.phase = *phase;
     row.holder = document.at("holder").get<std::string>();
     row.holderAddress = document.at("holderAddress").get<std::string>();
--- a/servers/rollouts/rollout.h
+++ b/servers/rollouts/rollout.h
@@ -56,6 +56,8 @@
     std::string to;
     /** The versions in use when the order began. */
     std::vector<std::string> from;
+    /** Versions of earlier orders that were reverted, if they were still listed when the order began. */
+    std::vector<std::string> reverted;
     RolloutPhase phase = RolloutPhase::Canary;
     /** The daemon that decides, and its peer address. */
     std::string holder;
--- a/servers/rollouts/rolloutholder.cpp
+++ b/servers/rollouts/rolloutholder.cpp
@@ -542,6 +542,14 @@
     if (!m_known) {
         return;
     }
+    std::vector<std::string> reverted = m_known->reverted;
+    if (m_known->phase == RolloutPhase::Reverted && !hasVersion(reverted, m_known->to)) {
+        reverted.push_back(m_known->to);
+    }
+    std::copy_if(reverted.begin(), reverted.end(), std::back_inserter(row.reverted), [&](const std::string &version) {
+        const bool isCompleted = m_known->phase == RolloutPhase::Completed && version == m_known->to;
+        return !isCompleted && (version == row.to || hasVersion(m_fleet->oldVersions, version));
+    });
     std::vector<EarlierExposure> earlier = m_known->earlier;
     const auto known = std::find_if(earlier.begin(), earlier.end(), [this](const EarlierExposure &exposure) {
         return exposure.to == m_known->to;
--- a/servers/rollouts/versionaccess.cpp
+++ b/servers/rollouts/versionaccess.cpp
@@ -97,16 +97,32 @@
         }
     }
     m_isRowBehind = false;
+    const bool isFirstOfOrder = !m_row || !isSameOrder(orderOf(*m_row), orderOf(*row));
     m_row = row;
+    if (isFirstOfOrder) {
+        recordEarlierReversions(now);
+    }
     recordFinish(now);
     update(now);
 }
 
+void VersionAccess::ruleOutReverted(const std::string &version, TimePoint now)
+{
+    m_reverted.insert(version);
+    m_lastUsable.emplace(version, now);
+}
+
+void VersionAccess::recordEarlierReversions(TimePoint now)
+{
+    for (const std::string &version : m_row->reverted) {
+        ruleOutReverted(version, now);
+    }
+}
+
 void VersionAccess::recordFinish(TimePoint now)
 {
     if (m_row->phase == RolloutPhase::Reverted) {
-        m_reverted.insert(m_row->to);
-        m_lastUsable.emplace(m_row->to, now);
+        ruleOutReverted(m_row->to, now);
     } else if (m_row->phase == RolloutPhase::Completed) {
         m_reverted.erase(m_row->to);
         m_replaced.erase(m_row->to);
--- a/servers/rollouts/versionaccess.h
+++ b/servers/rollouts/versionaccess.h
@@ -90,6 +90,9 @@
     void setPhase(RolloutPhase phase, TimePoint now);
     /** Rules out versions for good after m_row's order has finished. */
     void recordFinish(TimePoint now);
+    /** Rules out the versions of earlier orders whose reversion m_row states, in case no row of these was read since. */
+    void recordEarlierReversions(TimePoint now);
+    void ruleOutReverted(const std::string &version, TimePoint now);
     bool isRowCurrent() const;
     bool isTrying() const;
     bool isUsable(const std::string &version) const;
--- a/tests/drivers/rolloutrowjson_test.cpp
+++ b/tests/drivers/rolloutrowjson_test.cpp
@@ -15,6 +15,7 @@
     row.era = 2;
     row.to = "v2";
     row.from = {"v0", "v1"};
+    row.reverted = {"v3"};
     row.phase = RolloutPhase::Raising;
     row.holder = "endpoint-3";
     row.holderAddress = "10.0.0.3:7000";
@@ -42,6 +43,7 @@
         CHECK(decoded->era == row.era);
         CHECK(decoded->to == row.to);
         CHECK(decoded->from == row.from);
+        CHECK(decoded->reverted == row.reverted);
         CHECK(decoded->phase == phase);
         CHECK(decoded->holder == row.holder);
         CHECK(decoded->holderAddress == row.holderAddress);
--- a/tests/servers/rollouts/rolloutholder_test.cpp
+++ b/tests/servers/rollouts/rolloutholder_test.cpp
@@ -298,6 +298,40 @@
     CHECK(static_cast<double>(granted.at("v3")) <= RolloutBounds().exposureSlack);
 }
 
+// Guards against a reversion that is known only to those who read its row before the next order replaced it.
+TEST_CASE("RolloutHolder states the reversions of earlier orders in the row of each later one", "[RolloutHolder]")
+{
+    SingleHolder single;
+    single.begin(orderTo("v2", 7));
+    CHECK(single.row->reverted.empty());
+    single.row->phase = RolloutPhase::Reverted;
+    ++single.version;
+    single.read();
+    single.fleet.oldVersions = {"v1", "v2"};
+    single.holder.setFleet(single.fleet, single.now);
+    single.begin(orderTo("v3", 8));
+    REQUIRE(single.row->order == 8);
+    CHECK(single.row->reverted == std::vector<std::string>{"v2"});
+    single.row->phase = RolloutPhase::Reverted;
+    ++single.version;
+    single.read();
+    // v2 has gone since.
+    single.fleet.oldVersions = {"v1", "v3"};
+    single.holder.setFleet(single.fleet, single.now);
+    single.begin(orderTo("v4", 9));
+    REQUIRE(single.row->order == 9);
+    CHECK(single.row->reverted == std::vector<std::string>{"v3"});
+    // Once the reverted version is completed after all, it is used like any other.
+    single.begin(orderTo("v3", 10));
+    CHECK(single.row->reverted == std::vector<std::string>{"v3"});
+    single.row->phase = RolloutPhase::Completed;
+    ++single.version;
+    single.read();
+    single.begin(orderTo("v4", 11));
+    REQUIRE(single.row->order == 11);
+    CHECK(single.row->reverted.empty());
+}
+
 // Guards against an order that ends at its deadline because earlier ones for the same version have used up the bounds.
 TEST_CASE("RolloutHolder grants the share of the requests that come after an earlier order for the same version", "[RolloutHolder]")
 {
--- a/tests/servers/rollouts/versionaccess_test.cpp
+++ b/tests/servers/rollouts/versionaccess_test.cpp
@@ -261,13 +261,15 @@
 
 // Guards against streams that go on at a bad version, or requests for it once nothing else is left, if the next order replaced the row
 // before this daemon read the reversion.
-TEST_CASE("VersionAccess refuses a reverted version also if it reads the next order first", "[VersionAccess][!mayfail]")
+TEST_CASE("VersionAccess refuses a reverted version also if it reads the next order first", "[VersionAccess]")
 {
     Entry entry;
     entry.order(RolloutPhase::Canary);
     entry.access.setListed({{"v1", start}, {"v2", start}, {"v3", start}}, entry.now);
     entry.access.setOrder(orderTo("v3", 6), entry.now);
-    entry.access.setRow(rowOf(orderTo("v3", 6), RolloutPhase::Canary), entry.now);
+    RolloutRow next = rowOf(orderTo("v3", 6), RolloutPhase::Canary);
+    next.reverted = {"v2"};
+    entry.access.setRow(next, entry.now);
     CHECK_FALSE(entry.isPinnedAllowed("v2"));
     entry.access.setListed({{"v2", start}, {"v3", start}}, entry.now);
     CHECK(entry.excluded().count("v2") == 1);
