Bound the number of responses that a call skips

Cause: processor time. What is skipped was bounded at 1 MiB a call, which is 36,000 interim responses of 29 bytes, each with a parser of its own; 200 such calls keep the daemon from all other requests for seconds.

Change: after 32 responses that are not the call's, the connection is closed and the call is broken.

Ruled out: memory (13.6 to 13.9 MiB before and after).

The new test of HttpPool failed for both kinds of skipped responses before.

--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -29,6 +29,8 @@
 
 // Interim responses and responses to earlier requests are skipped up to this size. A server in trouble may send more without end.
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
+// A response takes far more processor time than its bytes do, and they can be short. Servers send a few interim ones at most.
+constexpr std::size_t maxSkippedResponses = 32;
 
 constexpr std::uint64_t unlimitedBodyBytes = std::numeric_limits<std::uint64_t>::max();
 
@@ -209,6 +211,7 @@
     startReader(id);
     connection.hasSent = true;
     connection.skippedBytes = 0;
+    connection.skippedResponses = 0;
     HttpHead &head = connection.request.head;
     if (!connection.request.body.empty() || (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE")) {
         head.set("Content-Length", std::to_string(connection.request.body.size()));
@@ -336,6 +339,10 @@
             closeConnection(id, HttpCallResult::Broken, HttpBreakCause::EndedEarly);
             return;
         }
+        if (++connection.skippedResponses > maxSkippedResponses) {
+            closeConnection(id, HttpCallResult::Broken, HttpBreakCause::Malformed);
+            return;
+        }
         startReader(id);
         if (connection.input.empty()) {
             return;
--- a/drivers/httppool.h
+++ b/drivers/httppool.h
@@ -100,8 +100,9 @@
         bool isDiscarding = false;
         /** Whether it has answered a call before the current one. */
         bool isReused = false;
-        /** Bytes received since the request was sent that are not part of its final response. */
+        /** Bytes received since the request was sent that are not part of its final response, and the whole responses among them. */
         std::size_t skippedBytes = 0;
+        std::size_t skippedResponses = 0;
         /** Bytes of the parsed head, and those that the handlers hold. */
         std::size_t headBytes = 0;
         std::size_t handlerBytes = 0;
--- a/tests/drivers/httppool_test.cpp
+++ b/tests/drivers/httppool_test.cpp
@@ -233,6 +233,29 @@
     CHECK(writer.written < 32U * 1024 * 1024);
 }
 
+// Guards against a server whose many short responses take the processor time of all other requests.
+TEST_CASE("[HttpPool] A server that sends many responses that are not the call's is cut off long before their bytes are too many")
+{
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string other = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n";
+    const std::string skipped = GENERATE_COPY(interim, other);
+    const int count = GENERATE(20, 200);
+    Loop loop;
+    RawServer server(loop);
+    HttpPool pool(loop);
+    server.onRequest = [&](TcpSocket &socket) {
+        std::string bytes;
+        for (int i = 0; i < count; ++i) {
+            bytes += skipped;
+        }
+        socket.write(bytes + "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nmine");
+    };
+    FetchedResponse response;
+    fetch(pool, loop, callWithId("1"), response);
+    CHECK(response.result == (count == 20 ? HttpCallResult::Complete : HttpCallResult::Broken));
+    CHECK(response.body == (count == 20 ? "mine" : ""));
+}
+
 TEST_CASE("[HttpPool] Beyond the bound on all responses, the one that holds most is broken off, and the others go on")
 {
     constexpr std::size_t soundBytes = 50000;
