Grant an account's quota by the newest limit that holder or asker knows

Cause: the holder took the limit from its own copy, which it asks for every 20 s, though each entry daemon that asked knew the new one. Shown by the rate, seven tenths of the old limit until 20 s after the poll; entry daemons that grant by an old limit, and a full bucket, would have shown less. Weighed: a shorter poll costs reads at each endpoint daemon; grants that end with the age of the copy cost seven tenths of each limit while the store is silent.

Change: Reserve carries the limit and the version of the configuration that the entry daemon knows, and AccountLimits takes the newest one. An account that has no limit in the newest version is granted. The log states the limit, both versions and the age of the copy. No store call is added.

--- a/main/proxy/quotaacquisition.cpp
+++ b/main/proxy/quotaacquisition.cpp
@@ -39,12 +39,19 @@
         return;
     }
     const std::set<std::string> &candidates = m_services.engineLinks.daemonAddresses();
-    m_reservation = m_services.quotaClient.reserve(m_requestId, m_account.name, m_cost, candidates,
+    m_reservation = m_services.quotaClient.reserve(m_requestId, m_account.name, newestLimit(), m_cost, candidates,
                                                    [this](QuotaClient::Outcome outcome, Duration retryAfter) {
                                                        handleReservation(outcome, retryAfter);
                                                    });
 }
 
+StatedLimit QuotaAcquisition::newestLimit() const
+{
+    const std::shared_ptr<const TrafficConfig> &config = m_services.operatorFeed.config();
+    const TrafficAccount *account = config->findAccountByName(m_account.name);
+    return account == nullptr ? StatedLimit() : StatedLimit{config->version, account->ratePerSecond, account->burst};
+}
+
 void QuotaAcquisition::handleReservation(QuotaClient::Outcome outcome, Duration retryAfter)
 {
     m_reservation = 0;
--- a/main/proxy/quotaacquisition.h
+++ b/main/proxy/quotaacquisition.h
@@ -2,6 +2,7 @@
 
 #include "core/errorkind.h"
 #include "main/proxy/proxyservices.h"
+#include "servers/quota/accountlimits.h"
 #include "servers/trafficconfig.h"
 
 #include <functional>
@@ -33,6 +34,8 @@
     bool m_isAcquired = false;
 
     void handleReservation(QuotaClient::Outcome outcome, Duration retryAfter);
+    /** The limit in the newest configuration, which may be newer than the one that the request is handled by. */
+    StatedLimit newestLimit() const;
     void acquireAfter(Duration delay);
     void finish(std::optional<ErrorKind> refusal, Duration wait = Duration::zero());
 
--- a/main/proxy/quotaclient.cpp
+++ b/main/proxy/quotaclient.cpp
@@ -46,14 +46,17 @@
     return holder;
 }
 
-QuotaClient::ReservationId QuotaClient::reserve(const std::string &requestId, const std::string &account, double cost,
-                                                const std::set<std::string> &candidates, AnswerHandler handler)
+QuotaClient::ReservationId QuotaClient::reserve(const std::string &requestId, const std::string &account, const StatedLimit &limit,
+                                                double cost, const std::set<std::string> &candidates, AnswerHandler handler)
 {
     wire::Reserve message;
     message.__set_reservationId(m_lastId + 1);
     message.__set_account(account);
     message.__set_request(requestId);
     message.__set_tokens(static_cast<std::int64_t>(std::ceil(cost)));
+    message.__set_configVersion(limit.version);
+    message.__set_ratePerSecond(limit.ratePerSecond);
+    message.__set_burst(limit.burst);
     wire::Body body;
     body.__set_reserve(message);
     return send(selectHolder(account, candidates), body, std::move(handler));
--- a/main/proxy/quotaclient.h
+++ b/main/proxy/quotaclient.h
@@ -2,6 +2,7 @@
 
 #include "main/peerlinks.h"
 #include "servers/endpointlimits.h"
+#include "servers/quota/accountlimits.h"
 #include "servers/quotagate.h"
 
 #include <cstdint>
@@ -47,11 +48,12 @@
 
     /**
      * Reserves @p cost units of the account's rate. The handler is always called asynchronously.
+     * @param limit the limit of the account as this daemon knows it
      * @param requestId id of the request, for the log of the holder
      * @param candidates addresses of all endpoint daemons; rendezvous hashing selects the holder of the account
      */
-    ReservationId reserve(const std::string &requestId, const std::string &account, double cost, const std::set<std::string> &candidates,
-                          AnswerHandler handler);
+    ReservationId reserve(const std::string &requestId, const std::string &account, const StatedLimit &limit, double cost,
+                          const std::set<std::string> &candidates, AnswerHandler handler);
 
     /**
      * Reserves one request to an endpoint that limits its requests. The handler is always called asynchronously.
--- a/main/sidecar/sidecarrole.cpp
+++ b/main/sidecar/sidecarrole.cpp
@@ -84,6 +84,7 @@
     });
     m_operatorFeed.onConfig([this](const TrafficConfig &config) {
         m_endpointFeed.applyConfig(config);
+        m_accountLimits.discardUpTo(config.version);
     });
     m_endpointFeed.onRead([this]() {
         m_isListCurrent = true;
@@ -164,25 +165,54 @@
     return static_cast<int>(m_entryDaemons.size());
 }
 
+std::optional<TrafficAccount> SidecarRole::resolveAccount(const MessageOrigin &origin, const wire::Reserve &reserve)
+{
+    const std::shared_ptr<const TrafficConfig> config = m_operatorFeed.config();
+    const std::int64_t ownVersion = config == nullptr ? 0 : config->version;
+    const TrafficAccount *own = config == nullptr ? nullptr : config->findAccountByName(reserve.account);
+    const std::size_t newerBefore = m_accountLimits.newerCount();
+    const std::optional<TrafficAccount> account = m_accountLimits.resolve(
+        reserve.account, own, ownVersion, StatedLimit{reserve.configVersion, reserve.ratePerSecond, reserve.burst});
+    if (m_accountLimits.newerCount() > newerBefore) {
+        m_log.write("quota", "newer limit stated",
+                    {{"account", reserve.account},
+                     {"entry", origin.sender},
+                     {"perSecond", std::to_string(reserve.ratePerSecond)},
+                     {"ownPerSecond", own == nullptr ? "" : std::to_string(own->ratePerSecond)},
+                     {"stated", std::to_string(reserve.configVersion)},
+                     {"config", std::to_string(ownVersion)},
+                     {"configAgeMs", configAgeText()}});
+    }
+    return account;
+}
+
+std::string SidecarRole::configAgeText() const
+{
+    return m_operatorFeed.confirmedAt() == timeNever ? "unknown" : millisecondsText(Loop::now() - m_operatorFeed.confirmedAt());
+}
+
 void SidecarRole::handleReserve(const MessageOrigin &origin, const wire::Reserve &reserve)
 {
     wire::ReserveAnswer answer;
     answer.__set_reservationId(reserve.reservationId);
-    const std::shared_ptr<const TrafficConfig> config = m_operatorFeed.config();
-    const TrafficAccount *account = config == nullptr ? nullptr : config->findAccountByName(reserve.account);
-    if (account != nullptr) {
+    const std::optional<TrafficAccount> account = resolveAccount(origin, reserve);
+    if (account.has_value()) {
         m_quotaHolder.setDaemonCount(countEntryDaemons(Loop::now()));
         const QuotaHolder::Answer decision = m_quotaHolder.reserve(*account, static_cast<double>(reserve.tokens), Loop::now());
         answer.__set_isGranted(decision.isGranted);
         answer.__set_retryAfterMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter).count() + 1);
         if (!decision.isGranted) {
+            const std::shared_ptr<const TrafficConfig> config = m_operatorFeed.config();
             m_log.write("quota", "reservation refused",
                         {{"request", reserve.request},
                          {"account", reserve.account},
                          {"entry", origin.sender},
                          {"cost", std::to_string(reserve.tokens)},
                          {"waitMs", millisecondsText(decision.retryAfter)},
-                         {"config", std::to_string(config->version)}});
+                         {"perSecond", std::to_string(account->ratePerSecond)},
+                         {"stated", std::to_string(reserve.configVersion)},
+                         {"config", std::to_string(config == nullptr ? 0 : config->version)},
+                         {"configAgeMs", configAgeText()}});
         }
     } else {
         answer.__set_retryAfterMilliseconds(unknownAccountRetryAfter.count());
--- a/main/sidecar/sidecarrole.h
+++ b/main/sidecar/sidecarrole.h
@@ -12,6 +12,7 @@
 #include "servers/endpointlimitholder.h"
 #include "servers/prefixdirectory.h"
 #include "servers/prompttracker.h"
+#include "servers/quota/accountlimits.h"
 #include "servers/quotaholder.h"
 #include "servers/weights/weightsrollout.h"
 
@@ -42,6 +43,7 @@
     platform::EngineClient m_engineClient;
     WeightsRollout m_rollout;
     QuotaHolder m_quotaHolder;
+    AccountLimits m_accountLimits;
     EndpointLimitHolder m_endpointLimitHolder;
     PromptTracker m_promptTracker;
     PrefixDirectory m_prefixDirectory;
@@ -65,6 +67,9 @@
     void handleMessage(const MessageOrigin &origin, const wire::Body &body);
     void handleEntryHello(const MessageOrigin &origin);
     void handleReserve(const MessageOrigin &origin, const wire::Reserve &reserve);
+    std::optional<TrafficAccount> resolveAccount(const MessageOrigin &origin, const wire::Reserve &reserve);
+    /** Time since the store confirmed this daemon's copy of the configuration, in milliseconds. */
+    std::string configAgeText() const;
     void handleEndpointReserve(const MessageOrigin &origin, const wire::EndpointReserve &reserve);
     void handleProbe(const MessageOrigin &origin, const wire::Probe &probe);
     void handlePrefixUse(const wire::PrefixUse &use);
--- a/protocol/gen-cpp/peer_types.cpp
+++ b/protocol/gen-cpp/peer_types.cpp
@@ -2109,6 +2109,18 @@
 void Reserve::__set_request(const std::string& val) {
   this->request = val;
 }
+
+void Reserve::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
+void Reserve::__set_ratePerSecond(const double val) {
+  this->ratePerSecond = val;
+}
+
+void Reserve::__set_burst(const double val) {
+  this->burst = val;
+}
 std::ostream& operator<<(std::ostream& out, const Reserve& obj)
 {
   obj.printTo(out);
@@ -2169,6 +2181,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->ratePerSecond);
+          this->__isset.ratePerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2202,6 +2238,18 @@
   xfer += oprot->writeString(this->request);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ratePerSecond", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->ratePerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 7);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2213,6 +2261,9 @@
   swap(a.account, b.account);
   swap(a.tokens, b.tokens);
   swap(a.request, b.request);
+  swap(a.configVersion, b.configVersion);
+  swap(a.ratePerSecond, b.ratePerSecond);
+  swap(a.burst, b.burst);
   swap(a.__isset, b.__isset);
 }
 
@@ -2221,6 +2272,9 @@
   account = other38.account;
   tokens = other38.tokens;
   request = other38.request;
+  configVersion = other38.configVersion;
+  ratePerSecond = other38.ratePerSecond;
+  burst = other38.burst;
   __isset = other38.__isset;
 }
 Reserve& Reserve::operator=(const Reserve& other39) {
@@ -2228,6 +2282,9 @@
   account = other39.account;
   tokens = other39.tokens;
   request = other39.request;
+  configVersion = other39.configVersion;
+  ratePerSecond = other39.ratePerSecond;
+  burst = other39.burst;
   __isset = other39.__isset;
   return *this;
 }
@@ -2238,6 +2295,9 @@
   out << ", " << "account=" << to_string(account);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "request=" << to_string(request);
+  out << ", " << "configVersion=" << to_string(configVersion);
+  out << ", " << "ratePerSecond=" << to_string(ratePerSecond);
+  out << ", " << "burst=" << to_string(burst);
   out << ")";
 }
 
--- a/protocol/gen-cpp/peer_types.h
+++ b/protocol/gen-cpp/peer_types.h
@@ -967,11 +967,14 @@
 std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
 
 typedef struct _Reserve__isset {
-  _Reserve__isset() : reservationId(false), account(false), tokens(false), request(false) {}
+  _Reserve__isset() : reservationId(false), account(false), tokens(false), request(false), configVersion(false), ratePerSecond(false), burst(false) {}
   bool reservationId :1;
   bool account :1;
   bool tokens :1;
   bool request :1;
+  bool configVersion :1;
+  bool ratePerSecond :1;
+  bool burst :1;
 } _Reserve__isset;
 
 class Reserve : public virtual ::apache::thrift::TBase {
@@ -983,7 +986,10 @@
           : reservationId(0),
             account(),
             tokens(0),
-            request() {
+            request(),
+            configVersion(0),
+            ratePerSecond(0),
+            burst(0) {
   }
 
   virtual ~Reserve() noexcept;
@@ -994,6 +1000,15 @@
    * Id of the request that the tokens are reserved for; only logged.
    */
   std::string request;
+  /**
+   * Version of the configuration that the limit below is from; 0 if the sender states no limit.
+   */
+  int64_t configVersion;
+  /**
+   * The account's limit as the sender knows it: tokens or requests per second, 0 for no limit.
+   */
+  double ratePerSecond;
+  double burst;
 
   _Reserve__isset __isset;
 
@@ -1005,6 +1020,12 @@
 
   void __set_request(const std::string& val);
 
+  void __set_configVersion(const int64_t val);
+
+  void __set_ratePerSecond(const double val);
+
+  void __set_burst(const double val);
+
   bool operator == (const Reserve & rhs) const
   {
     if (!(reservationId == rhs.reservationId))
@@ -1015,6 +1036,12 @@
       return false;
     if (!(request == rhs.request))
       return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
+    if (!(ratePerSecond == rhs.ratePerSecond))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
     return true;
   }
   bool operator != (const Reserve &rhs) const {
--- a/protocol/peer.thrift
+++ b/protocol/peer.thrift
@@ -112,6 +112,11 @@
   3: i64 tokens
   /** Id of the request that the tokens are reserved for; only logged. */
   4: string request
+  /** Version of the configuration that the limit below is from; 0 if the sender states no limit. */
+  5: i64 configVersion
+  /** The account's limit as the sender knows it: tokens or requests per second, 0 for no limit. */
+  6: double ratePerSecond
+  7: double burst
 }
 
 struct ReserveAnswer {
--- a/servers/quotaholder.cpp
+++ b/servers/quotaholder.cpp
@@ -36,6 +36,9 @@
 
 QuotaHolder::Answer QuotaHolder::reserve(const TrafficAccount &account, double cost, TimePoint now)
 {
+    if (account.ratePerSecond <= 0) {
+        return Answer{true, Duration::zero()};
+    }
     const double holderShare = 1 - QuotaGate::localShare(m_daemonCount);
     const double rate = rateWithTolerance(account, m_tolerance) * holderShare;
     const double initialLevel = std::min(account.burst * holderShare, m_tolerance.slack * initialSlackShare);
@@ -51,7 +54,7 @@
     // A request larger than half the capacity may overdraw the bucket; otherwise it would hardly ever be granted.
     const double needed = std::min(cost, account.burst * holderShare / 2);
     if (bucket.level < needed) {
-        return Answer{false, rate > 0 ? fromSeconds((needed - bucket.level) / rate) : Duration(std::chrono::seconds(1))};
+        return Answer{false, fromSeconds((needed - bucket.level) / rate)};
     }
     bucket.level -= cost;
     return Answer{true, Duration::zero()};
