Reset a response that ends with its connection unless it is whole

Cause: the end of the connection is the only mark of such a response, and the kernel closes the connections of a killed process in order. Ruled out: an endpoint that ends its stream, and a daemon that ends it on its way out (it gets SIGKILL).

Change: while such a response is open or unsent, its socket has a linger time of zero, so the kernel resets it; a whole response is closed in order. The same holds for an exit of the daemon, a half-closed client, and a slow reader that is closed for memory or at the idle timeout, which all ended such responses in order. Weighed: chunks for HTTP/1.1 callers would say of each whole end that it was marked, which is not known, and leave out HTTP/1.0.

--- a/drivers/httplistener.cpp
+++ b/drivers/httplistener.cpp
@@ -440,6 +440,8 @@
     connection->isChunked = framing == HttpBodyFraming::Chunked && connection->readsChunks;
     const bool endsWithConnection = framing != HttpBodyFraming::Length && !connection->isChunked;
     connection->closesAfterResponse = connection->closesAfterResponse || endsWithConnection;
+    // The end of the connection will say that the response is complete, so it must not come from a killed process.
+    connection->socket->setResetAtExit(endsWithConnection);
     prepareResponse(*connection, head);
     if (connection->isChunked) {
         head.set("Transfer-Encoding", "chunked");
@@ -531,11 +533,16 @@
         return;
     }
     const ExchangeId exchange = found->second.exchange;
+    const bool isResponseCut = exchange != 0 || found->second.socket->bufferedBytes() > 0;
     releaseHeld(found->second);
     // This function may be called from a handler of the socket, so the socket is destroyed in the next loop iteration.
     std::shared_ptr<TcpSocket> socket(std::move(found->second.socket));
     m_connections.erase(found);
-    socket->close();
+    if (isResponseCut) {
+        socket->abort();
+    } else {
+        socket->close();
+    }
     m_loop.timers().subscribeOnce(Duration::zero(), [socket](TimePoint) {});
     if (exchange != 0) {
         m_exchanges.erase(exchange);
--- a/drivers/tcpsocket.cpp
+++ b/drivers/tcpsocket.cpp
@@ -73,7 +73,7 @@
 TcpSocket::~TcpSocket()
 {
     *m_isAlive = false;
-    releaseDescriptor(false);
+    releaseDescriptor(m_isResetAtExit);
 }
 
 bool TcpSocket::attach(int descriptor)
@@ -168,19 +168,28 @@
     }
 }
 
+void TcpSocket::setResetAtExit(bool isReset)
+{
+    if (m_isResetAtExit == isReset || m_descriptor < 0) {
+        return;
+    }
+    m_isResetAtExit = isReset;
+    // The kernel resets a connection that is closed with a linger time of zero, also when it closes it for a killed process.
+    const linger option{isReset ? 1 : 0, 0};
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 void TcpSocket::close()
 {
     m_isClosed = true;
+    setResetAtExit(false);
     releaseDescriptor(false);
 }
 
 void TcpSocket::abort()
 {
     m_isClosed = true;
-    if (m_descriptor >= 0) {
-        const linger option{1, 0};
-        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
-    }
+    setResetAtExit(true);
     releaseDescriptor(true);
 }
 
@@ -202,7 +211,7 @@
         return;
     }
     m_isClosed = true;
-    releaseDescriptor(false);
+    releaseDescriptor(m_isResetAtExit);
     if (m_handlers.onEnd) {
         m_handlers.onEnd(reason);
     }
--- a/drivers/tcpsocket.h
+++ b/drivers/tcpsocket.h
@@ -49,6 +49,7 @@
     bool m_isConnecting = false;
     bool m_isReadingPaused = false;
     bool m_isClosed = false;
+    bool m_isResetAtExit = false;
     /** Set to false by the destructor, so that a function that has called a handler notices that the handler destroyed the socket. */
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 
@@ -82,6 +83,12 @@
     void pauseReading();
     void resumeReading();
 
+    /**
+     * Sets whether the connection is reset, instead of being closed in order, if the process is killed or the socket destroyed. Used
+     * while the end of the connection would tell the peer that a message is complete.
+     */
+    void setResetAtExit(bool isReset);
+
     /** Closes immediately. No handler is called afterwards. */
     void close();
 
