Keep a failed write, so that a reset response is not taken for complete

Cause: the write met the reset and took the error of the connection, so the next read returned 0 bytes, an orderly end. Shown by a socket that is written to between the reset and the read. Ruled out: a FIN before the reset, which the test's endpoint does not send.

Change: TcpSocket keeps that a write has failed and ends with a reset, after what was received has been passed on. HttpPool takes no response without a marked end for complete before its request has been sent. Answers with a marked end are delivered as before.

--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -128,7 +128,9 @@
         }
         Connection &connection = found->second;
         const bool isFinished = reason == SocketCloseReason::Finished;
-        const bool isComplete = isFinished && connection.reader != nullptr && !connection.isDiscarding && connection.reader->finishAtEof();
+        // An end without a mark is not trusted before the request has been sent: whether it or a reset is seen first is chance.
+        const bool isRequestSent = connection.hasSent && connection.socket->bufferedBytes() == 0;
+        const bool isComplete = isFinished && isRequestSent && connection.reader != nullptr && !connection.isDiscarding && connection.reader->finishAtEof();
         closeConnection(id, isComplete ? HttpCallResult::Complete : (connection.hasSent ? HttpCallResult::Broken : HttpCallResult::NotSent),
                         isFinished ? HttpBreakCause::EndedEarly : HttpBreakCause::Reset);
     };
--- a/drivers/tcpsocket.cpp
+++ b/drivers/tcpsocket.cpp
@@ -134,6 +134,7 @@
             if (errno == EINTR) {
                 continue;
             }
+            m_hasSendFailed = m_hasSendFailed || (errno != EAGAIN && errno != EWOULDBLOCK);
             // A connection error is reported by the next event, so that no
             // handler is called from within write().
             lws_callback_on_writable(m_wsi);
@@ -236,7 +237,7 @@
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
             return;
         }
-        closeAndNotify(count == 0 ? SocketCloseReason::Finished : SocketCloseReason::Reset);
+        closeAndNotify(count == 0 && !m_hasSendFailed ? SocketCloseReason::Finished : SocketCloseReason::Reset);
         return;
     }
 }
@@ -251,6 +252,14 @@
         return;
     }
     const std::shared_ptr<bool> isAlive = m_isAlive;
+    if (m_hasSendFailed) {
+        // What was received before the reset is still passed on.
+        readAvailable();
+        if (*isAlive && !m_isClosed && !m_isReadingPaused) {
+            closeAndNotify(SocketCloseReason::Reset);
+        }
+        return;
+    }
     if (m_isConnecting) {
         m_isConnecting = false;
         if (m_handlers.onConnected) {
--- a/drivers/tcpsocket.h
+++ b/drivers/tcpsocket.h
@@ -50,6 +50,8 @@
     bool m_isReadingPaused = false;
     bool m_isClosed = false;
     bool m_isResetAtExit = false;
+    /** Whether a write has failed. It takes the error of the connection, so that reads report an orderly end after it. */
+    bool m_hasSendFailed = false;
     /** Set to false by the destructor, so that a function that has called a handler notices that the handler destroyed the socket. */
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 
