Treat a response whose status is none of HTTP as malformed

Callers got answers with statuses 600 to 999, and after 000 to 099 or 101 from an endpoint they waited until their deadline (report on MIXED).

Cause: the parser takes any three digits, and what is below 200 was skipped as an interim response. The test of the pool shows both.

Change: HttpReader accepts 100 to 599 without 101; other responses break the call off at once and close the connection.

Interim responses are skipped as before.

--- a/drivers/httpreader.cpp
+++ b/drivers/httpreader.cpp
@@ -18,6 +18,17 @@
 // The library's notation of HTTP/1.1.
 constexpr int http11 = 11;
 
+// Other numbers are no status codes (RFC 9110, 15).
+constexpr int firstStatus = 100;
+constexpr int lastStatus = 599;
+// Only follows a request to upgrade the connection, which is never sent.
+constexpr int switchingProtocols = 101;
+
+bool isReadableStatus(int status)
+{
+    return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+}
+
 }
 
 const char *framingName(HttpBodyFraming framing)
@@ -57,6 +68,11 @@
     m_isHttp10 = version < http11;
     m_head.status = code;
     m_head.reason.assign(reason.data(), reason.size());
+    if (!isReadableStatus(code)) {
+        m_refusal = HttpReadState::Malformed;
+        error = http::error::bad_status;
+        return;
+    }
     error = {};
 }
 
--- a/tests/drivers/earlyresponse_test.cpp
+++ b/tests/drivers/earlyresponse_test.cpp
@@ -267,3 +267,51 @@
     CHECK(outcome.status == 413);
     CHECK(outcome.body == part);
 }
+
+// MIXED: 000 to 099 were waited for as interim responses, and 600 to 999 passed on.
+TEST_CASE("[HttpPool] A response whose status is none of HTTP is broken off at once")
+{
+    for (const char *status : {"000", "001", "099", "101", "600", "601", "999", "20", "2", "2000", "+20", "-01", "2x0", "abc", ""}) {
+        for (const char *framing : {"", "Content-Length: 18\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            const BlockingServer server;
+            Loop loop;
+            HttpPool pool(loop);
+            Outcome outcome;
+            sendRequest(pool, outcome, 100);
+            const TimePoint sentAt = Loop::now();
+            const int descriptor = server.accept();
+            const bool isChunked = std::string(framing).find("chunked") != std::string::npos;
+            sendText(descriptor,
+                     std::string("HTTP/1.1 ") + status + " Any\r\n" + framing + "\r\n"
+                         + (isChunked ? "12\r\n" + part + "\r\n0\r\n\r\n" : part));
+            fakes::runUntil(loop, [&]() {
+                return outcome.result.has_value();
+            });
+            ::close(descriptor);
+            CAPTURE(status, framing);
+            CHECK(outcome.result == HttpCallResult::Broken);
+            CHECK_FALSE(outcome.hasHead);
+            CHECK(Loop::now() - sentAt < std::chrono::seconds(10));
+        }
+    }
+}
+
+TEST_CASE("[HttpPool] Interim responses are skipped")
+{
+    for (const char *status : {"100", "102", "103", "199"}) {
+        const BlockingServer server;
+        Loop loop;
+        HttpPool pool(loop);
+        Outcome outcome;
+        sendRequest(pool, outcome, 100);
+        const int descriptor = server.accept();
+        sendText(descriptor, std::string("HTTP/1.1 ") + status + " Any\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n" + part);
+        REQUIRE(fakes::runUntil(loop, [&outcome]() {
+            return outcome.result.has_value();
+        }));
+        ::close(descriptor);
+        CHECK(outcome.result == HttpCallResult::Complete);
+        CHECK(outcome.status == 200);
+        CHECK(outcome.body == part);
+    }
+}
