--- a/drivers/httppool.cpp
+++ b/drivers/httppool.cpp
@@ -130,7 +130,8 @@
         const bool isFinished = reason == SocketCloseReason::Finished;
         // An end without a mark is not trusted before the request has been sent: whether it or a reset is seen first is chance.
         const bool isRequestSent = connection.hasSent && connection.socket->bufferedBytes() == 0;
-        const bool isComplete = isFinished && isRequestSent && connection.reader != nullptr && !connection.isDiscarding && connection.reader->finishAtEof();
+        const bool isComplete
+            = isFinished && isRequestSent && connection.reader != nullptr && !connection.isDiscarding && connection.reader->finishAtEof();
         closeConnection(id, isComplete ? HttpCallResult::Complete : (connection.hasSent ? HttpCallResult::Broken : HttpCallResult::NotSent),
                         isFinished ? HttpBreakCause::EndedEarly : HttpBreakCause::Reset);
     };
--- a/drivers/httpserver.cpp
+++ b/drivers/httpserver.cpp
@@ -139,7 +139,7 @@
         return 0;
     }
     const bool hasBody = exchange.request.method == "POST" || exchange.request.method == "PUT";
-    // libwebsockets 4.3 never returns from a request with a body that is pipelined behind one without.
+    // libwebsockets 4.1 never returns from a request with a body that is pipelined behind one without.
     exchange.closesAfterResponse = !hasBody;
     if (verdict == MessageFraming::Verdict::Chunked || (hasBody && verdict == MessageFraming::Verdict::Unmarked)) {
         refuse(id, statusLengthRequired, "content-length is required\n");
--- a/drivers/httpserver.h
+++ b/drivers/httpserver.h
@@ -73,7 +73,7 @@
     int startRequest(lws *socket, const char *path, std::size_t length);
     int receiveBody(ExchangeId id, const char *data, std::size_t length);
     void dispatch(ExchangeId id);
-    /** Responds and closes the connection, so that nothing behind the head is read as a request. */
+    /** Responds and closes the connection, so that what follows the head is not read as a request. */
     void refuse(ExchangeId id, int status, const std::string &text);
     int writeHead(Exchange &exchange);
     int writePending(ExchangeId id);
--- a/servers/quotaholder.h
+++ b/servers/quotaholder.h
@@ -46,7 +46,8 @@
     /** Sets the number of entry daemons, which determines the share of the rates that they use without the holder. */
     void setDaemonCount(int count);
 
-    /** Deducts @p cost from the account's bucket if granted. Accounts without a rate are not limited. A large request may make its level negative. */
+    /** Deducts @p cost from the account's bucket if granted. Accounts without a rate are not limited. A large request may make its level
+     * negative. */
     Answer reserve(const TrafficAccount &account, double cost, TimePoint now);
 };
 
