--- a/drivers/tcpsocket.h
+++ b/drivers/tcpsocket.h
@@ -87,7 +87,7 @@
 
     /**
      * Sets whether the connection is reset, instead of being closed in order, if the process is killed or the socket destroyed. Used
-     * while the end of the connection would tell the peer that a message is complete.
+     * while the end of the connection marks the end of a message.
      */
     void setResetAtExit(bool isReset);
 
--- a/tests/drivers/httpclient_test.cpp
+++ b/tests/drivers/httpclient_test.cpp
@@ -74,7 +74,7 @@
 
 }
 
-// Known failure, see KNOWN-RED.txt: libwebsockets reports any status and does not tell a reset from an orderly end.
+// Known failure, see KNOWN-RED.txt: libwebsockets reports any status, and a reset as an orderly end.
 TEST_CASE("[HttpClient] A response whose status is none of HTTP, or that is reset before its end is marked, is not complete", "[!mayfail]")
 {
     for (const char *status : {"000", "099", "600", "999"}) {
--- a/tests/fakes/framingtable.h
+++ b/tests/fakes/framingtable.h
@@ -90,7 +90,7 @@
     return rows;
 }
 
-/** Contents of Content-Length fields; "N" stands for the length of the payload. */
+/** Values of Content-Length fields; "N" is replaced by the length of the payload. */
 struct ContentLengths
 {
     std::vector<std::string> values;
--- a/tests/servers/quota/accountlimits_test.cpp
+++ b/tests/servers/quota/accountlimits_test.cpp
@@ -51,7 +51,7 @@
     return index;
 }
 
-/** A daemon's copy of the configuration: how late it is, and times of which it gets nothing. */
+/** A daemon's copy of the configuration: its delay, and the intervals in which the store does not respond. */
 struct Copy
 {
     Duration delay{};
